--- /dev/null
+++ b/tamarindfold/wire.py
@@ -0,0 +1,304 @@
+"""The simulator's binary wire: frames, records and the settings text."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from struct import Struct
+from typing import Any
+
+from tamarindfold.interface import (
+    Action,
+    AnswerBegan,
+    AttemptEnded,
+    BackendEntry,
+    BackendState,
+    Cancel,
+    Count,
+    CountAnswered,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    Group,
+    ListKind,
+    Log,
+    Outcome,
+    PeerMessage,
+    Plan,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
+    Settings,
+    Tell,
+    TimerFired,
+)
+
+
+class WireError(ValueError):
+    """Malformed input: what is wrong and where."""
+
+
+PROVISION, STOPPED = 1000, 1080
+BATCH_HEAD = Struct("<IdI")
+REPLY_HEAD = Struct("<I")
+RECORD = Struct("<HI")
+INSTANCE = Struct("<I")
+_PROVISION = Struct("<IQI")
+_VIEW = Struct("<IBQI")
+_ENTRY = Struct("<IHHHHBfd")
+_ACCEPT = Struct("<IQfffBdQHB")
+_BEGUN = Struct("<IQHIHd")
+_ENDED = Struct("<IQHIHBdBHHB")
+_WITHDRAWN = Struct("<IQ")
+_FIRED = Struct("<IQ")
+_PROBED = Struct("<IIHBdB")
+_PEER = Struct("<IHH")
+_COUNTED = Struct("<IQBdf")
+
+_OUT_SEND = Struct("<HIIQdIH")
+_OUT_CANCEL = Struct("<HIIQH")
+_OUT_REFUSE = Struct("<HIIQd")
+_OUT_FAIL = Struct("<HIIQ")
+_OUT_TIMER = Struct("<HIIdQ")
+_OUT_PROBE = Struct("<HIIIH")
+_OUT_TELL = Struct("<HIIIH")
+_OUT_COUNT = Struct("<HIIQfd")
+_OUT_TEXT = Struct("<HIIH")
+LOG_CODE, FAULT_CODE = 1030, 1090
+EVERY_PEER = 0xFFFFFFFF
+RETRY_BIT = 2
+
+
+def _backend(address: int, port: int) -> int:
+    return address << 16 | port
+
+
+def _fixed(shape: Struct, body: bytes, what: str) -> tuple[Any, ...]:
+    """Unpack a record that has no variable part."""
+    if len(body) != shape.size:
+        raise WireError(f"{what}: {len(body)} bytes of fields, {shape.size} expected")
+    return shape.unpack(body)
+
+
+def _counted(shape: Struct, body: bytes, item_size: int, what: str) -> tuple[tuple[Any, ...], bytes]:
+    """Unpack a record whose last fixed field counts the items that follow."""
+    if len(body) < shape.size:
+        raise WireError(f"{what}: {len(body)} bytes of fields, at least {shape.size} expected")
+    head = shape.unpack_from(body)
+    rest = body[shape.size:]
+    if len(rest) != head[-1] * item_size:
+        raise WireError(f"{what}: {len(rest)} bytes follow, {head[-1]} items of {item_size} bytes announced")
+    return head, rest
+
+
+def _number(value: float, what: str, least: float = 0.0) -> float:
+    if not (math.isfinite(value) and value >= least):
+        raise WireError(f"{what}: {value!r} is not a finite number of at least {least:g}")
+    return value
+
+
+def _choice(kind: Callable[[Any], Any], value: Any, what: str) -> Any:
+    try:
+        return kind(value)
+    except ValueError:
+        raise WireError(f"{what}: {value!r} is unknown") from None
+
+
+def _floats(data: bytes, what: str) -> tuple[float, ...]:
+    values = Struct(f"<{len(data) // 4}f").unpack(data)
+    for value in values:
+        _number(value, what, -math.inf)
+    return values
+
+
+def _read_view(body: bytes) -> Event:
+    (_, form, serial, _), rest = _counted(_VIEW, body, _ENTRY.size, "VIEW")
+    entries = []
+    for address, port, zone, kind, cell, state, size, up in _ENTRY.iter_unpack(rest):
+        entries.append(BackendEntry(_backend(address, port), _choice(BackendState, state, "VIEW availability"), zone,
+                                    kind, cell, _number(size, "VIEW size"), _number(up, "VIEW up_since")))
+    return FleetUpdate(_choice(ListKind, form, "VIEW form"), entries, serial)
+
+
+def _read_accept(body: bytes) -> Event:
+    _, call, units, first, width, cls, left, customer, plan, bits = _fixed(_ACCEPT, body, "ACCEPT")
+    return RequestArrived(call, customer, plan, cls, _number(units, "ACCEPT price_units"),
+                          int(_number(first, "ACCEPT set_from")), int(_number(width, "ACCEPT width", 1)),
+                          _number(left, "ACCEPT time_left"), bool(bits & RETRY_BIT))
+
+
+def _read_begun(body: bytes) -> Event:
+    _, call, n, address, port, spent = _fixed(_BEGUN, body, "BEGUN")
+    return AnswerBegan(call, n, _backend(address, port), _number(spent, "BEGUN spent"))
+
+
+def _read_ended(body: bytes) -> Event:
+    (_, call, n, address, port, verdict, spent, over, used, units, _), rest = _counted(_ENDED, body, 4, "COMPLETED")
+    return AttemptEnded(call, n, _backend(address, port), _choice(Outcome, verdict, "COMPLETED verdict"),
+                        _number(spent, "COMPLETED spent"), bool(over), used - 1.0 if used else None, float(units),
+                        _floats(rest, "COMPLETED telemetry"))
+
+
+def _read_withdrawn(body: bytes) -> Event:
+    return RequestWithdrawn(_fixed(_WITHDRAWN, body, "WITHDRAWN")[1])
+
+
+def _read_fired(body: bytes) -> Event:
+    return TimerFired(_fixed(_FIRED, body, "DEADLINE_HIT")[1])
+
+
+def _read_probed(body: bytes) -> Event:
+    (_, address, port, verdict, spent, _), rest = _counted(_PROBED, body, 4, "STATUS_BACK")
+    return ProbeEnded(_backend(address, port), _choice(Outcome, verdict, "STATUS_BACK verdict"),
+                      _number(spent, "STATUS_BACK spent"), _floats(rest, "STATUS_BACK telemetry"))
+
+
+def _read_peer(body: bytes) -> Event:
+    (_, author, _), rest = _counted(_PEER, body, 1, "MESSAGE")
+    return PeerMessage(author, rest)
+
+
+def _read_counted(body: bytes) -> Event:
+    _, key, verdict, spent, reading = _fixed(_COUNTED, body, "LEDGER_REPLY")
+    outcome = _choice(Outcome, verdict, "LEDGER_REPLY verdict")
+    if outcome is Outcome.OK:
+        _number(reading, "LEDGER_REPLY reading", -math.inf)
+    return CountAnswered(key, outcome, _number(spent, "LEDGER_REPLY spent"), reading)
+
+
+_READERS: dict[int, Callable[[bytes], Event]] = {
+    1050: _read_view, 1060: _read_accept, 1070: _read_begun, 1030: _read_ended, 1020: _read_withdrawn,
+    1090: _read_fired, 1010: _read_probed, 1040: _read_peer, 1100: _read_counted,
+}
+
+
+def read_event(code: int, body: bytes) -> Event:
+    """The event in a record that is neither a start nor a stop."""
+    reader = _READERS.get(code)
+    if reader is None:
+        raise WireError(f"unknown event code {code}")
+    return reader(body)
+
+
+def read_provision(body: bytes) -> tuple[int, Settings]:
+    """Seed and settings of an instance that starts."""
+    (_, seed, _), text = _counted(_PROVISION, body, 1, "PROVISION")
+    try:
+        return seed, parse_settings(text.decode())
+    except UnicodeDecodeError:
+        raise WireError("PROVISION settings: not UTF-8 text") from None
+
+
+def write_action(instance: int, action: Action) -> bytes:
+    """One action as a record."""
+    match action:
+        case Send(call, backend, timeout):
+            return _OUT_SEND.pack(1070, 26, instance, call, timeout, backend >> 16, backend & 0xFFFF)
+        case Refuse(call, retry_after):
+            return _OUT_REFUSE.pack(1100, 20, instance, call, retry_after)
+        case Count(name, amount, ttl):
+            return _OUT_COUNT.pack(1020, 24, instance, name, amount, ttl)
+        case SetTimer(after, label):
+            return _OUT_TIMER.pack(1050, 20, instance, after, label)
+        case Fail(call):
+            return _OUT_FAIL.pack(1010, 12, instance, call)
+        case Cancel(call, attempt):
+            return _OUT_CANCEL.pack(1080, 14, instance, call, attempt)
+        case Probe(backend):
+            return _OUT_PROBE.pack(1000, 10, instance, backend >> 16, backend & 0xFFFF)
+        case Tell(gateway, message):
+            whom = EVERY_PEER if gateway is None else gateway
+            return _OUT_TELL.pack(1120, 10 + len(message), instance, whom, len(message)) + message
+        case Log(text):
+            return write_text(LOG_CODE, instance, text)
+
+
+def write_text(code: int, instance: int, text: str) -> bytes:
+    """A log line or a fault as a record."""
+    data = text.encode()[:60_000]
+    return _OUT_TEXT.pack(code, 6 + len(data), instance, len(data)) + data
+
+
+# ---- settings
+
+_EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+
+
+class _Reader:
+    """Typed look-ups in the settings text; missing or malformed values are named."""
+
+    def __init__(self, text: str) -> None:
+        self.values: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            key, equals, value = line.partition("=")
+            if not equals:
+                raise WireError(f"settings line {number}: no '=' in {line[:40]!r}")
+            self.values[key] = value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.values.get(key, default)
+        if value is None:
+            raise WireError(f"settings: {key} is missing")
+        return value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.text(key, None if default is None else str(default))
+        try:
+            return float(value)
+        except ValueError:
+            raise WireError(f"settings: {key}: {value!r} is not a number") from None
+
+    def whole(self, key: str, default: int | None = None) -> int:
+        value = self.number(key, default)
+        if not value.is_integer():
+            raise WireError(f"settings: {key}: {value!r} is not a whole number")
+        return int(value)
+
+    def truth(self, key: str) -> bool:
+        value = self.text(key, "false")
+        if value not in ("true", "false"):
+            raise WireError(f"settings: {key}: {value!r} is neither true nor false")
+        return value == "true"
+
+    def items(self, key: str) -> list[str]:
+        return [f"{key}.{i}." for i in range(self.whole(f"{key}.count"))]
+
+
+def parse_settings(text: str) -> Settings:
+    """Read the settings text; unknown keys are ignored."""
+    r = _Reader(text)
+    classes = []
+    for c in r.items("categories"):
+        effect = r.text(c + "idempotency")
+        if effect not in _EFFECTS:
+            raise WireError(f"settings: {c}idempotency: {effect!r} is unknown")
+        classes.append(RequestClass(
+            r.number(c + "aim"), r.number(c + "hard_limit"), r.number(c + "points"), _EFFECTS[effect],
+            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"), r.number(c + "dedup_window", 0),
+            r.number(c + "late_worth", 0), r.text(c + "name", "")))
+    plans = [Plan(r.number(p + "per_second"), r.number(p + "peak_units"), r.whole(p + "at_once", 0),
+                  r.number(p + "price", 1), r.number(p + "over_worth", 0), r.number(p + "excess_cost", 0),
+                  r.number(p + "cap_rate", 0), r.number(p + "ceiling_burst", 0), r.number(p + "tolerance", 0),
+                  r.text(p + "name", "")) for p in r.items("plans")]
+    reports = r.text("telemetry.fields", "")
+    return Settings(
+        gateways=r.whole("balancers"), index=r.whole("index"), classes=tuple(classes), plans=tuple(plans),
+        max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
+        cold_ms=r.number("safety.cold"), fall_multiple=r.number("safety.fall_multiple"),
+        overload_ms=r.number("safety.overload_for"), drain_grace_ms=r.number("safety.stop_sending_within"),
+        answer_grace_ms=r.number("safety.grace_to_answer", 0), zone=r.whole("locality", 0),
+        tick_ms=r.number("quantum", 1), most_units=r.number("extra.units_top", 1),
+        marks_retry=r.truth("clients.marks_retry"), retry_after=r.truth("permissions.retry_after"),
+        max_retry_after_ms=r.number("permissions.max_retry_after", 0),
+        second_copies=r.truth("permissions.parallel_tries"), cancel=r.truth("permissions.cancel"),
+        probes=r.truth("permissions.probes"), peers=r.truth("permissions.may_tell"),
+        peer_in_per_s=r.number("extra.peer_intake", 0), counter=r.truth("extra.has_counter"),
+        counter_timeout_ms=r.number("extra.count_wait", 0), counter_price=r.number("extra.counter_price", 0),
+        meter_ms=r.number("extra.meter", 0), settled_after=r.truth("extra.cost_after"),
+        report_fields=tuple(reports.split(",")) if reports and r.text("telemetry.via", "off") != "off" else ())
