--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -7,29 +7,9 @@
 from random import Random
 
 from tamarindfold.interface import (
-    Actions,
-    AttemptEnded,
-    BackendEntry,
-    BackendState,
-    Count,
-    CountAnswered,
-    Effect,
-    Event,
-    Fail,
-    FleetUpdate,
-    Group,
-    ListKind,
-    Log,
-    Outcome,
-    Plan,
-    Refuse,
-    RequestArrived,
-    RequestClass,
-    RequestWithdrawn,
-    Send,
-    SetTimer,
-    Settings,
-    TimerFired,
+    Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
+    FleetUpdate, Group, ListKind, Log, Outcome, Plan, Refuse, RequestArrived, RequestClass,
+    RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
 )
 
 # ---- tuned constants
@@ -157,7 +137,7 @@
 
     def __init__(self, entry: BackendEntry) -> None:
         self.entry = entry
-        self.out: dict[tuple[int, int], tuple[float, float, float]] = {}  # attempt: sent at, expected, pile then
+        self.out: dict[tuple[int, int], tuple[float, float, float, float]] = {}  # attempt: sent at, work, load, pile
         self.load = 0.0  # work outstanding from here, in mean requests
         self.slowness = 1.0  # time taken over time expected at that pile
         self.trouble, self.trouble_at = 0.0, 0.0
@@ -361,7 +341,7 @@
 
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
         """The backend with the least expected delay, at random among near ties; None: refuse."""
-        work = self.unit_ms[call.event.cls] * call.event.units
+        work = self.unit_ms[call.event.cls] * max(call.event.units, 0.01)
         ready = [b for b in self.backends.values() if b.entry.state is BackendState.READY
                  and (call.ran_group is None or self.group(b, call.cls) == call.ran_group)]
         ready = [b for b in ready if b.entry.backend not in call.tried] or ready
@@ -383,10 +363,10 @@
 
     def send(self, now: float, call: Call, backend: Backend) -> None:
         """Start an attempt and remember what it may do."""
-        work = self.unit_ms[call.event.cls] * call.event.units
+        work = self.unit_ms[call.event.cls] * max(call.event.units, 0.01)
         pile = PILE + backend.load / (backend.entry.size or 1.0) / backend.warmth(now, self.settings)
         mean = work / (sum(self.unit_ms) / len(self.unit_ms))
-        backend.out[call.event.request, call.attempts] = (now, work, pile)
+        backend.out[call.event.request, call.attempts] = (now, work, mean, pile)
         backend.load += mean
         if backend.entry.up_since_ms:
             backend.spent.append((now, work))
@@ -402,8 +382,8 @@
         call = self.calls.get(event.request)
         sent_at = now - event.elapsed_ms
         if backend and known:
-            sent_at, work, pile = known
-            backend.load = backend.load - work / (sum(self.unit_ms) / len(self.unit_ms)) if backend.out else 0.0
+            sent_at, work, load, pile = known
+            backend.load = max(0.0, backend.load - load) if backend.out else 0.0
             backend.heard_at = now
             self.learn(now, backend, event, call, work, pile)
         if call is None:
@@ -458,7 +438,7 @@
             backend.slowness = backend.slowness * KEEP + (1 - KEEP) * took / work
             if call is not None:
                 number = call.event.cls
-                seen = took / call.event.units
+                seen = took / max(call.event.units, 0.01)
                 self.unit_ms[number] = self.unit_ms[number] * 0.99 + 0.01 * seen
             if backend.warmth(now, self.settings) >= 1:
                 self.warm_done.append((now, work))
--- a/tamarindfold/wire.py
+++ b/tamarindfold/wire.py
@@ -8,35 +8,9 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Action,
-    AnswerBegan,
-    AttemptEnded,
-    BackendEntry,
-    BackendState,
-    Cancel,
-    Count,
-    CountAnswered,
-    Effect,
-    Event,
-    Fail,
-    FleetUpdate,
-    Group,
-    ListKind,
-    Log,
-    Outcome,
-    PeerMessage,
-    Plan,
-    Probe,
-    ProbeEnded,
-    Refuse,
-    RequestArrived,
-    RequestClass,
-    RequestWithdrawn,
-    Send,
-    SetTimer,
-    Settings,
-    Tell,
-    TimerFired,
+    Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
+    Event, Fail, FleetUpdate, Group, ListKind, Log, Outcome, PeerMessage, Plan, Probe, ProbeEnded, Refuse,
+    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
 )
 
 
