Slowness fades with its last sign

Cause: after a peak few requests are sent, so few answers correct the slowness and refusals keep themselves alive. Also covers a backend that has recovered; hurts where a backend is slow in spells longer than the fade, which costs a try each spell.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -139,7 +139,7 @@
         self.entry = entry
         self.out: dict[tuple[int, int], tuple[float, float, float, float]] = {}  # attempt: sent at, work, load, pile
         self.load = 0.0  # work outstanding from here, in mean requests
-        self.slowness = 1.0  # time taken over time expected at that pile
+        self.slowness, self.slow_at = 1.0, 0.0  # time taken over time expected at that pile; last answer's time
         self.trouble, self.trouble_at = 0.0, 0.0
         self.heard_at = 0.0
         self.spent: deque[tuple[float, float]] = deque()  # sends in the cold window: when, work
@@ -155,6 +155,16 @@
         """Trouble, faded by the time since the last sign."""
         return self.trouble * 3 ** ((self.trouble_at - now) / FORGIVE_MS)
 
+    def drag(self, now: float) -> float:
+        """Slowness, forgotten as its last sign ages: few sends mean few answers, which must not keep a peak alive."""
+        return 1 + (self.slowness - 1) * 3 ** ((self.slow_at - now) / FORGIVE_MS)
+
+    def timed(self, now: float, ratio: float) -> None:
+        """Take in one answer's time; a rare answer weighs as much as the many it stands for."""
+        weight = max(1 - KEEP, 1 - 3 ** ((self.slow_at - now) / FORGIVE_MS))
+        self.slowness = self.drag(now) * (1 - weight) + weight * ratio
+        self.slow_at = now
+
     def blame(self, now: float, amount: float) -> None:
         """A bad (positive) or good (negative) sign moves the one measure of health."""
         worry = self.worry(now)
@@ -322,11 +332,11 @@
         """Expected time of a send to this backend; silence bounds it from below."""
         warmth = backend.warmth(now, self.settings)
         pile = PILE + backend.load / (backend.entry.size or 1.0) / warmth
-        expected = work * backend.slowness * pile / PILE
+        expected = work * backend.drag(now) * pile / PILE
         if backend.out:
             first = next(iter(backend.out.values()))[0]
             expected = max(expected, now - max(first, backend.heard_at) - work)
-        return expected * (1 + DREAD * backend.worry(now))
+        return expected
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all its gateways' work in any window stays well inside what pushes it over."""
@@ -345,12 +355,13 @@
         ready = [b for b in self.backends.values() if b.entry.state is BackendState.READY
                  and (call.ran_group is None or self.group(b, call.cls) == call.ran_group)]
         ready = [b for b in ready if b.entry.backend not in call.tried] or ready
-        rated = [(self.forecast(now, b, work), b) for b in ready if self.cold_room(now, b, work)]
+        rated = [(self.forecast(now, b, work) * (1 + DREAD * b.worry(now)), b) for b in ready
+                 if self.cold_room(now, b, work)]
         if not rated:
             return None
         least = min(f for f, _ in rated)
-        delay, best = self.random.choice([(f, b) for f, b in rated if f <= least * TIE])
-        if delay > patience * (call.aim - now) and best.out:
+        best = self.random.choice([b for f, b in rated if f <= least * TIE])
+        if self.forecast(now, best, work) > patience * (call.aim - now) and best.out:
             return None
         return best
 
@@ -431,11 +442,11 @@
             if event.outcome is not Outcome.TIMEOUT or backend.slowness < 2:
                 backend.blame(now, BLAME)
             if event.outcome is Outcome.TIMEOUT:
-                backend.slowness = backend.slowness * KEEP + (1 - KEEP) * max(1.0, event.elapsed_ms / work)
+                backend.timed(now, max(1.0, event.elapsed_ms / work))
         elif event.outcome is Outcome.OK:
             backend.blame(now, -BLAME)
             took = event.elapsed_ms / (pile / PILE)
-            backend.slowness = backend.slowness * KEEP + (1 - KEEP) * took / work
+            backend.timed(now, took / work)
             if call is not None:
                 number = call.event.cls
                 seen = took / max(call.event.units, 0.01)
