The bucket holds no more than the shared store shows

Cause: slices grown at several gateways hold together more tokens than the customer's store; a spike spends them all.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -129,6 +129,7 @@
             return None  # first answer, or the name expired or the counter was lost
         filled = self.store + (now - last_at) / 1000 * self.plan.rate - (total - last)
         self.store = min(self.plan.burst, max(0.0, filled))
+        self.tokens = min(self.tokens, max(0.0, self.store - self.unposted))
         return filled <= 0
 
 
