Slices grow only while the shared store is half full, fall below a quarter; no calls that only read; gateways out of step

Cause: grown slices lag the use and go on when the store is spent; all gateways asked for one customer at the same moment.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -15,6 +15,8 @@
 # ---- tuned constants
 RAISE = 1.5  # a dry slice grows by half (design page)
 FALL = 0.5  # an over-used slice loses half of what it has above the even split
+ROOM = 0.5  # of the burst: a shared store fuller than this has room, so that a slice may grow
+SPENT = 0.25  # of the burst: a shared store emptier than this is over-used, before it is beyond its quota
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
 NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
 SLOTS = 40  # the counter calls of a second are spread over so many moments
@@ -116,7 +118,7 @@
         """The design's second: a dry slice of a customer under quota grows, that of one over it falls back."""
         if over:
             self.share = max(self.even, self.share - (self.share - self.even) * FALL)
-        elif self.dry:
+        elif self.dry and self.store > ROOM * self.plan.burst:
             before, self.share = self.share, min(1.0, self.share * RAISE)
             self.tokens += (self.share - before) * self.plan.burst
         self.dry = False
@@ -130,7 +132,7 @@
         filled = self.store + (now - last_at) / 1000 * self.plan.rate - (total - last)
         self.store = min(self.plan.burst, max(0.0, filled))
         self.tokens = min(self.tokens, max(0.0, self.store - self.unposted))
-        return filled <= 0
+        return filled < SPENT * self.plan.burst
 
 
 class Backend:
@@ -234,7 +236,8 @@
         if known is None:
             width = max(1, min(event.width, self.settings.gateways))
             known = self.customers[event.customer] = Customer(self.settings.plans[event.plan], width, now)
-            self.slots[event.customer * 2654435761 % 2**32 * SLOTS >> 32].append(event.customer)
+            spread = event.customer * 2654435761 / 2**32 + self.settings.index / self.settings.gateways
+            self.slots[int(spread % 1 * SLOTS)].append(event.customer)
         known.refill(now)
         return known
 
@@ -278,7 +281,7 @@
         self.slot = (self.slot + 1) % SLOTS
         for name in self.slots[self.slot]:
             c = self.customers[name]
-            active = c.unposted or c.dry or c.share > c.even
+            active = c.unposted or c.dry
             if active and not c.waiting and c.plan.rate and now - c.asked_at >= self.count_every - SECOND_MS / SLOTS:
                 c.waiting, c.asked_at = True, now
                 c.in_flight, c.unposted = c.unposted, 0.0
