--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -32,9 +32,9 @@
 COLD_PART = 0.5  # of the work that would push a cold backend over, all gateways together
 RETRY_PART = 0.1  # further attempts earned by each first try
 RETRY_MOST = 10.0  # further attempts that may be saved up
-PATIENCE = 0.5  # of the aim: a send forecast to take longer is refused
-CHEAP_PATIENCE = 0.35  # the same for the work least worth
-SPARE_PATIENCE = 0.25  # the same for requests beyond their quota
+PATIENCE = 0.35  # of the aim: a send forecast to take longer is refused
+CHEAP_PATIENCE = 0.3  # the same for the work least worth
+SPARE_PATIENCE = 0.2  # the same for requests beyond their quota
 
 BAD = (Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
 
