--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -204,6 +204,7 @@
         self.count_every = SECOND_MS
         self.retries = RETRY_MOST
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
+        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
         self.peak_work = 1000 / settings.gateways  # work a second that a warm backend takes from here, at least
         self.warm_done: deque[tuple[float, float]] = deque()
         self.actions: Actions = []
@@ -365,7 +366,8 @@
             return None
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
-        if self.forecast(now, best, work) > patience * (call.aim - now) and best.out:
+        wait = self.forecast(now, best, self.mean_work)
+        if best.out and (wait > patience * (call.aim - now) or wait + work - self.mean_work > call.aim - now):
             return None
         return best
 
@@ -385,6 +387,7 @@
         backend.load += mean
         if backend.entry.up_since_ms:
             backend.spent.append((now, work))
+        self.mean_work += (work - self.mean_work) * 0.01
         call.attempts += 1
         call.out += 1
         call.tried.append(backend.entry.backend)
