Bound each class by the shortest aim of what is worth as much

Covers any cause of pressure; hurts where the densest class has a very short aim, which then bounds all.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -32,9 +32,9 @@
 COLD_PART = 0.5  # of the work that would push a cold backend over, all gateways together
 RETRY_PART = 0.1  # further attempts earned by each first try
 RETRY_MOST = 10.0  # further attempts that may be saved up
-PATIENCE = 0.35  # of the aim: a send forecast to take longer is refused
-CHEAP_PATIENCE = 0.3  # the same for the work least worth
-SPARE_PATIENCE = 0.2  # the same for requests beyond their quota
+PATIENCE = 0.4  # of the aim: a mean request may be forecast to take so long, or all is refused
+CHEAP_PATIENCE = 0.25  # the same for work that is worth next to nothing
+SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 
 BAD = (Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
 
@@ -259,7 +259,7 @@
             customer.dry = True
             if plan.over_worth <= plan.over_cost:
                 return self.refuse(now, call)
-        backend = self.choose(now, call, self.patience(plan, cls, event.cls) if inside else SPARE_PATIENCE)
+        backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
         if backend is None:
             return self.refuse(now, call)
         if inside:
@@ -326,12 +326,14 @@
                 known.slowness, known.trouble = 1.0, 0.0
             known.entry = entry
 
-    def patience(self, plan: Plan, cls: RequestClass, number: int) -> float:
-        """Part of the aim that a forecast may take: less for work that is less worth."""
-        def worth(c: RequestClass, i: int) -> float:
-            return c.worth / self.unit_ms[i]
-        best = max(worth(c, i) for i, c in enumerate(self.settings.classes))
-        return CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth(cls, number) / best
+    def patience(self, number: int) -> float:
+        """The wait that this class may meet: a part of the shortest aim among the classes worth as much per work.
+
+        Guards against the pile of a pressed fleet filling with long-aimed cheap work, whatever pressed it.
+        """
+        worth = [c.worth / ms for c, ms in zip(self.settings.classes, self.unit_ms, strict=True)]
+        aim = min(c.aim_ms for c, w in zip(self.settings.classes, worth, strict=True) if w >= worth[number])
+        return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth[number] / max(worth))
 
     def forecast(self, now: float, backend: Backend, work: float) -> float:
         """Expected time of a send to this backend; silence bounds it from below."""
@@ -367,7 +369,7 @@
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
         wait = self.forecast(now, best, self.mean_work)
-        if best.out and (wait > patience * (call.aim - now) or wait + work - self.mean_work > call.aim - now):
+        if best.out and (wait > patience or wait + work - self.mean_work > call.aim - now):
             return None
         return best
 
