Only a gateway with nothing out may send against its forecast

Symptom: with ten gateways fleets are driven into late answers (15% late) that three gateways keep well. Cause: an idle backend was always sent one; ten gateways make that a pile of ten.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -66,7 +66,8 @@
         gone, self.filled_at = (now - self.filled_at) / 1000, now
         plan = self.plan
         self.tokens = min(plan.burst * self.share, self.tokens + gone * plan.rate * self.share)
-        self.cap_tokens = min(plan.ceiling_burst * self.even, self.cap_tokens + gone * plan.ceiling_rate * self.even)
+        cap, cap_rate = plan.ceiling_burst * self.even, plan.ceiling_rate * self.even
+        self.cap_tokens = min(cap, self.cap_tokens + gone * cap_rate)
 
     def covers(self, units: float, marked: bool, reserve: float) -> bool:
         """Whether the bucket lets this try pass; a full bucket does, or a large request never would."""
@@ -115,7 +116,7 @@
             self.returned()
 
     def follow(self, over: bool) -> None:
-        """The design's second: a dry slice of a customer under quota grows, that of one over it falls back."""
+        """Each second: a dry slice of a customer under quota grows, that of one over it falls back."""
         if over:
             self.share = max(self.even, self.share - (self.share - self.even) * FALL)
         elif self.dry and self.store > ROOM * self.plan.burst:
@@ -140,9 +141,9 @@
 
     def __init__(self, entry: BackendEntry) -> None:
         self.entry = entry
-        self.out: dict[tuple[int, int], tuple[float, float, float, float]] = {}  # attempt: sent at, work, load, pile
+        self.out: dict[tuple[int, int], tuple[float, float, float, float]] = {}  # sent at, work, load, pile
         self.load = 0.0  # work outstanding from here, in mean requests
-        self.slowness, self.slow_at = 1.0, 0.0  # time taken over time expected at that pile; last answer's time
+        self.slowness, self.slow_at = 1.0, 0.0  # time taken over time expected at that pile
         self.trouble, self.trouble_at = 0.0, 0.0
         self.heard_at = 0.0
         self.spent: deque[tuple[float, float]] = deque()  # sends in the cold window: when, work
@@ -159,7 +160,7 @@
         return self.trouble * 3 ** ((self.trouble_at - now) / FORGIVE_MS)
 
     def drag(self, now: float) -> float:
-        """Slowness, forgotten as its last sign ages: few sends mean few answers, which must not keep a peak alive."""
+        """Slowness, forgotten as its last sign ages: few sends bring few answers to correct it."""
         return 1 + (self.slowness - 1) * 3 ** ((self.slow_at - now) / FORGIVE_MS)
 
     def timed(self, now: float, ratio: float) -> None:
@@ -200,12 +201,13 @@
         self.slots: list[list[int]] = [[] for _ in range(SLOTS)]
         self.calls: dict[int, Call] = {}
         self.ticking = False
+        self.attempts_out = 0
         self.slot = 0
         self.count_every = SECOND_MS
         self.retries = RETRY_MOST
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
-        self.peak_work = 1000 / settings.gateways  # work a second that a warm backend takes from here, at least
+        self.peak_work = 1000 / settings.gateways  # work a second that a warm backend surely takes from here
         self.warm_done: deque[tuple[float, float]] = deque()
         self.actions: Actions = []
 
@@ -282,14 +284,14 @@
         self.slot = (self.slot + 1) % SLOTS
         for name in self.slots[self.slot]:
             c = self.customers[name]
-            active = c.unposted or c.dry
-            if active and not c.waiting and c.plan.rate and now - c.asked_at >= self.count_every - SECOND_MS / SLOTS:
+            active = (c.unposted or c.dry) and c.plan.rate and not c.waiting
+            if active and now - c.asked_at >= self.count_every - SECOND_MS / SLOTS:
                 c.waiting, c.asked_at = True, now
                 c.in_flight, c.unposted = c.unposted, 0.0
                 self.actions.append(Count(name, c.in_flight, NAME_TTL_MS))
 
     def count_answered(self, now: float, event: CountAnswered) -> None:
-        """Guards against a slow, full or lost counter: never add twice, ask less often, hold the last rate."""
+        """Guards against a slow, full or lost counter: never add twice, ask less, hold the last rate."""
         c = self.customers.get(event.name)
         if c is None:
             return
@@ -327,7 +329,7 @@
             known.entry = entry
 
     def patience(self, number: int) -> float:
-        """The wait that this class may meet: a part of the shortest aim among the classes worth as much per work.
+        """The wait that this class may meet: a part of the shortest aim of the classes worth as much.
 
         Guards against the pile of a pressed fleet filling with long-aimed cheap work, whatever pressed it.
         """
@@ -346,7 +348,7 @@
         return expected
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
-        """Guards a cold backend: all its gateways' work in any window stays well inside what pushes it over."""
+        """Guards a cold backend: the work of any window stays well inside what pushes it over."""
         warmth = backend.warmth(now, self.settings)
         if warmth >= 1:
             return True
@@ -369,7 +371,7 @@
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
         wait = self.forecast(now, best, self.mean_work)
-        if best.out and (wait > patience or wait + work - self.mean_work > call.aim - now):
+        if self.attempts_out and (wait > patience or wait + work - self.mean_work > call.aim - now):
             return None
         return best
 
@@ -390,6 +392,7 @@
         if backend.entry.up_since_ms:
             backend.spent.append((now, work))
         self.mean_work += (work - self.mean_work) * 0.01
+        self.attempts_out += 1
         call.attempts += 1
         call.out += 1
         call.tried.append(backend.entry.backend)
@@ -402,6 +405,7 @@
         call = self.calls.get(event.request)
         sent_at = now - event.elapsed_ms
         if backend and known:
+            self.attempts_out -= 1
             sent_at, work, load, pile = known
             backend.load = max(0.0, backend.load - load) if backend.out else 0.0
             backend.heard_at = now
@@ -430,9 +434,10 @@
         """The one table of further attempts: by effect, and by what may have run."""
         if call.out:
             return
-        effect, ran = call.cls.effect, call.may_have_run
-        allowed = not ran or effect is Effect.SAFE or (effect is Effect.KEYED and now < call.ran_until - 1)
-        refusable = not ran or effect is Effect.SAFE or (effect is Effect.KEYED and call.cls.group is Group.ALL)
+        harmless = not call.may_have_run or call.cls.effect is Effect.SAFE
+        keyed = call.cls.effect is Effect.KEYED
+        allowed = harmless or (keyed and now < call.ran_until - 1)
+        refusable = harmless or (keyed and call.cls.group is Group.ALL)
         in_time = now < call.give_up - self.settings.tick_ms
         if allowed and in_time and call.attempts < self.settings.max_attempts and self.retries >= 1:
             backend = self.choose(now, call)
