--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -22,8 +22,10 @@
 SLOTS = 40  # the counter calls of a second are spread over so many moments
 SECOND_MS = 1000.0  # how often the design looks at a customer's use
 SLOWEST_COUNT_MS = 8000.0  # under time-outs the counter is asked at least this often
+BACK_OFF, SPEED_UP = 1.1, 0.95  # what an unanswered and an answered call do to the time between calls
 NAME_TTL_MS = 60_000.0  # the longest life of a counter's name
 KEEP = 0.9  # weight of the past in moving means: about the last ten answers
+LEARN = 0.01  # how far one answer moves what a class is known to take
 PILE = 2.0  # outstanding requests that a backend serves side by side without being slower for it
 BLAME = 0.3  # how far one bad sign moves a backend's trouble toward certain
 FORGIVE_MS = 3000.0  # time in which trouble fades to a third, so that a suspect is tried again
@@ -36,29 +38,22 @@
 CHEAP_PATIENCE = 0.25  # the same for work that is worth next to nothing
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 
-BAD = (Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
-
 
 class Customer:
     """One customer's slice of its quota here, and the virtual queue of those it was refused for."""
 
     def __init__(self, plan: Plan, width: int, now: float) -> None:
         self.plan, self.even = plan, 1 / width
-        self.share = self.even
-        self.tokens = plan.burst * self.share
+        self.share, self.tokens = self.even, plan.burst * self.even
         self.cap_tokens = 0.0  # a restarted gateway cannot know what it spent of the ceiling
-        self.filled_at = now
-        self.dry = False
-        # DIBA
-        self.end_of_queue_time = now
+        self.dry = self.waiting = False
+        self.filled_at = self.end_of_queue_time = now
         self.virtual_queue_length = 0
         self.appointments: deque[float] = deque()
         self.answers, self.unit_sum, self.unit_squares = 0, 0.0, 0.0
-        # the counter
         self.unposted = self.in_flight = 0.0
         self.asked_at = self.total_at = -inf
         self.total: float | None = None
-        self.waiting = False
         self.store = plan.burst  # the shared store as the totals show it
 
     def refill(self, now: float) -> None:
@@ -155,6 +150,10 @@
             return 1.0
         return settings.start_capacity + (1 - settings.start_capacity) * max(0.0, age / settings.cold_ms)
 
+    def pile(self, now: float, settings: Settings) -> float:
+        """What stands there from here, as a warm backend of size one would feel it."""
+        return PILE + self.load / (self.entry.size or 1.0) / self.warmth(now, settings)
+
     def worry(self, now: float) -> float:
         """Trouble, faded by the time since the last sign."""
         return self.trouble * 3 ** ((self.trouble_at - now) / FORGIVE_MS)
@@ -183,7 +182,7 @@
         self.event, self.cls, self.customer = event, cls, customer
         self.give_up = now + event.time_left_ms
         self.aim = now + min(cls.aim_ms, event.time_left_ms)
-        self.attempts = self.out = 0
+        self.work, self.attempts = 0.0, 0
         self.tried: list[int] = []
         self.may_have_run = False
         self.ran_group: int | None = None
@@ -194,21 +193,19 @@
     """Decides for one gateway; hand it every event and carry out the actions it gives back."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
-        self.random = Random(seed)
+        self.settings, self.random = settings, Random(seed)
         self.backends: dict[int, Backend] = {}
         self.customers: dict[int, Customer] = {}
         self.slots: list[list[int]] = [[] for _ in range(SLOTS)]
         self.calls: dict[int, Call] = {}
         self.ticking = False
-        self.attempts_out = 0
-        self.slot = 0
+        self.slot = self.attempts_out = 0
         self.count_every = SECOND_MS
         self.retries = RETRY_MOST
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
         self.peak_work = 1000 / settings.gateways  # work a second that a warm backend surely takes from here
-        self.warm_done: deque[tuple[float, float]] = deque()
+        self.done = self.done_since = 0.0
         self.actions: Actions = []
 
     def handle(self, now: float, event: Event) -> Actions:
@@ -249,6 +246,7 @@
         customer = self.customer(now, event)
         cls, plan = self.settings.classes[event.cls], customer.plan
         call = self.calls[event.request] = Call(event, cls, customer, now)
+        call.work = self.unit_ms[event.cls] * max(event.units, 0.01)
         marks = self.settings.marks_retry
         if event.retry and marks:
             customer.returned()
@@ -292,20 +290,18 @@
 
     def count_answered(self, now: float, event: CountAnswered) -> None:
         """Guards against a slow, full or lost counter: never add twice, ask less, hold the last rate."""
-        c = self.customers.get(event.name)
-        if c is None:
+        if (c := self.customers.get(event.name)) is None:
             return
         c.waiting = False
         if event.outcome is Outcome.OK:
-            self.count_every = max(SECOND_MS, self.count_every * 0.95)
-            over = c.counted(now, event.total)
-            if over is not None:
-                c.refill(now)
+            self.count_every = max(SECOND_MS, self.count_every * SPEED_UP)
+            c.refill(now)
+            if (over := c.counted(now, event.total)) is not None:
                 c.follow(over)
             return
         if event.outcome.never_ran:
             c.unposted += c.in_flight
-        slower = min(SLOWEST_COUNT_MS, self.count_every * 1.1)
+        slower = min(SLOWEST_COUNT_MS, self.count_every * BACK_OFF)
         if slower == SLOWEST_COUNT_MS > self.count_every:
             self.actions.append(Log("the quota counter is silent: slices are held"))
         self.count_every = slower
@@ -314,34 +310,25 @@
 
     def fleet(self, event: FleetUpdate) -> None:
         """Follow the list; what it does not name as ready gets nothing new from this moment on."""
-        if event.kind is ListKind.FAILED:
-            return
-        if event.kind is not ListKind.CHANGES:
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
             for backend in self.backends.values():
                 backend.entry.state = BackendState.GONE
         for entry in event.entries:
-            known = self.backends.get(entry.backend)
-            if known is None:
-                self.backends[entry.backend] = Backend(entry)
-                continue
+            known = self.backends.setdefault(entry.backend, Backend(entry))
             if entry.up_since_ms > known.entry.up_since_ms:
                 known.slowness, known.trouble = 1.0, 0.0
             known.entry = entry
 
     def patience(self, number: int) -> float:
-        """The wait that this class may meet: a part of the shortest aim of the classes worth as much.
-
-        Guards against the pile of a pressed fleet filling with long-aimed cheap work, whatever pressed it.
-        """
-        worth = [c.worth / ms for c, ms in zip(self.settings.classes, self.unit_ms, strict=True)]
-        aim = min(c.aim_ms for c, w in zip(self.settings.classes, worth, strict=True) if w >= worth[number])
+        """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
+        classes = self.settings.classes
+        worth = [c.worth / ms for c, ms in zip(classes, self.unit_ms, strict=True)]
+        aim = min(c.aim_ms for c, w in zip(classes, worth, strict=True) if w >= worth[number])
         return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth[number] / max(worth))
 
     def forecast(self, now: float, backend: Backend, work: float) -> float:
         """Expected time of a send to this backend; silence bounds it from below."""
-        warmth = backend.warmth(now, self.settings)
-        pile = PILE + backend.load / (backend.entry.size or 1.0) / warmth
-        expected = work * backend.drag(now) * pile / PILE
+        expected = work * backend.drag(now) * backend.pile(now, self.settings) / PILE
         if backend.out:
             first = next(iter(backend.out.values()))[0]
             expected = max(expected, now - max(first, backend.heard_at) - work)
@@ -349,10 +336,9 @@
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: the work of any window stays well inside what pushes it over."""
-        warmth = backend.warmth(now, self.settings)
+        s, warmth = self.settings, backend.warmth(now, self.settings)
         if warmth >= 1:
             return True
-        s = self.settings
         while backend.spent and backend.spent[0][0] <= now - s.overload_ms:
             backend.spent.popleft()
         budget = COLD_PART * s.fall_multiple * warmth * self.peak_work * s.overload_ms / 1000
@@ -360,18 +346,17 @@
 
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
         """The backend with the least expected delay, at random among near ties; None: refuse."""
-        work = self.unit_ms[call.event.cls] * max(call.event.units, 0.01)
         ready = [b for b in self.backends.values() if b.entry.state is BackendState.READY
                  and (call.ran_group is None or self.group(b, call.cls) == call.ran_group)]
         ready = [b for b in ready if b.entry.backend not in call.tried] or ready
-        rated = [(self.forecast(now, b, work) * (1 + DREAD * b.worry(now)), b) for b in ready
-                 if self.cold_room(now, b, work)]
+        rated = [(self.forecast(now, b, call.work) * (1 + DREAD * b.worry(now)), b) for b in ready
+                 if self.cold_room(now, b, call.work)]
         if not rated:
             return None
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
         wait = self.forecast(now, best, self.mean_work)
-        if self.attempts_out and (wait > patience or wait + work - self.mean_work > call.aim - now):
+        if self.attempts_out and (wait > patience or wait + call.work - self.mean_work > call.aim - now):
             return None
         return best
 
@@ -384,17 +369,14 @@
 
     def send(self, now: float, call: Call, backend: Backend) -> None:
         """Start an attempt and remember what it may do."""
-        work = self.unit_ms[call.event.cls] * max(call.event.units, 0.01)
-        pile = PILE + backend.load / (backend.entry.size or 1.0) / backend.warmth(now, self.settings)
-        mean = work / (sum(self.unit_ms) / len(self.unit_ms))
-        backend.out[call.event.request, call.attempts] = (now, work, mean, pile)
-        backend.load += mean
-        if backend.entry.up_since_ms:
+        work, load = call.work, call.work / self.mean_work
+        backend.out[call.event.request, call.attempts] = (now, work, load, backend.pile(now, self.settings))
+        backend.load += load
+        if backend.warmth(now, self.settings) < 1:
             backend.spent.append((now, work))
-        self.mean_work += (work - self.mean_work) * 0.01
+        self.mean_work += (work - self.mean_work) * LEARN
         self.attempts_out += 1
         call.attempts += 1
-        call.out += 1
         call.tried.append(backend.entry.backend)
         self.actions.append(Send(call.event.request, backend.entry.backend))
 
@@ -403,21 +385,18 @@
         backend = self.backends.get(event.backend)
         known = backend.out.pop((event.request, event.attempt), None) if backend else None
         call = self.calls.get(event.request)
-        sent_at = now - event.elapsed_ms
         if backend and known:
             self.attempts_out -= 1
-            sent_at, work, load, pile = known
+            _, work, load, pile = known
             backend.load = max(0.0, backend.load - load) if backend.out else 0.0
             backend.heard_at = now
             self.learn(now, backend, event, call, work, pile)
         if call is None:
             return
-        call.out -= 1
         if event.outcome is Outcome.OK:
             units = event.true_units or call.event.units
             call.customer.learn(units)
             if self.settings.settled_after and event.true_units:
-                call.customer.refill(now)
                 call.customer.tokens -= units - call.event.units
                 call.customer.unposted += units - call.event.units
         if event.over:
@@ -427,13 +406,11 @@
             call.may_have_run = True
             if backend and call.cls.effect is Effect.KEYED and call.ran_group is None:
                 call.ran_group = self.group(backend, call.cls)
-                call.ran_until = sent_at + call.cls.window_ms
+                call.ran_until = now - event.elapsed_ms + call.cls.window_ms
         self.again(now, call)
 
     def again(self, now: float, call: Call) -> None:
         """The one table of further attempts: by effect, and by what may have run."""
-        if call.out:
-            return
         harmless = not call.may_have_run or call.cls.effect is Effect.SAFE
         keyed = call.cls.effect is Effect.KEYED
         allowed = harmless or (keyed and now < call.ran_until - 1)
@@ -452,24 +429,21 @@
     def learn(self, now: float, backend: Backend, event: AttemptEnded, call: Call | None, work: float,
               pile: float) -> None:
         """One measure of health from every kind of sign; service times from good answers."""
-        if event.outcome in BAD:
-            if event.outcome is not Outcome.TIMEOUT or backend.slowness < 2:
-                backend.blame(now, BLAME)
-            if event.outcome is Outcome.TIMEOUT:
-                backend.timed(now, max(1.0, event.elapsed_ms / work))
-        elif event.outcome is Outcome.OK:
+        if event.outcome is Outcome.OK:
             backend.blame(now, -BLAME)
             took = event.elapsed_ms / (pile / PILE)
             backend.timed(now, took / work)
             if call is not None:
-                number = call.event.cls
-                seen = took / max(call.event.units, 0.01)
-                self.unit_ms[number] = self.unit_ms[number] * 0.99 + 0.01 * seen
+                cls, seen = call.event.cls, took / max(call.event.units, 0.01)
+                self.unit_ms[cls] += (seen - self.unit_ms[cls]) * LEARN
             if backend.warmth(now, self.settings) >= 1:
-                self.warm_done.append((now, work))
-                if self.warm_done[0][0] < now - self.settings.overload_ms:
-                    while self.warm_done[0][0] < now - self.settings.overload_ms:
-                        self.warm_done.popleft()
+                self.done += work
+                if now - self.done_since >= self.settings.overload_ms:
                     warm = sum(b.warmth(now, self.settings) >= 1 for b in self.backends.values())
-                    rate = sum(w for _, w in self.warm_done) / self.settings.overload_ms * 1000 / max(1, warm)
+                    rate = self.done / (now - self.done_since) * 1000 / warm
                     self.peak_work = max(self.peak_work, rate)
+                    self.done, self.done_since = 0.0, now
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+            backend.blame(now, BLAME)
+            if event.outcome is Outcome.TIMEOUT:
+                backend.timed(now, max(1.0, event.elapsed_ms / work))
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -72,8 +72,9 @@
 
 def _check_types(what: object, kinds: dict[str, type]) -> None:
     for name, kind in kinds.items():
-        if not isinstance(getattr(what, name), kind):
-            raise ValueError(f"{type(what).__name__}.{name}: {getattr(what, name)!r} is not a {kind.__name__}")
+        value = getattr(what, name)
+        if not isinstance(value, kind):
+            raise ValueError(f"{type(what).__name__}.{name}: {value!r} is not a {kind.__name__}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,8 +266,8 @@
     total: float
 
 
-Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired | ProbeEnded
-         | PeerMessage | CountAnswered)
+Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
+         | ProbeEnded | PeerMessage | CountAnswered)
 
 
 # ---- actions
--- a/tamarindfold/wire.py
+++ b/tamarindfold/wire.py
@@ -95,8 +95,9 @@
     (_, form, serial, _), rest = _counted(_VIEW, body, _ENTRY.size, "VIEW")
     entries = []
     for address, port, zone, kind, cell, state, size, up in _ENTRY.iter_unpack(rest):
-        entries.append(BackendEntry(_backend(address, port), _choice(BackendState, state, "VIEW availability"), zone,
-                                    kind, cell, _number(size, "VIEW size"), _number(up, "VIEW up_since")))
+        ready = _choice(BackendState, state, "VIEW availability")
+        entries.append(BackendEntry(_backend(address, port), ready, zone, kind, cell,
+                                    _number(size, "VIEW size"), _number(up, "VIEW up_since")))
     return FleetUpdate(_choice(ListKind, form, "VIEW form"), entries, serial)
 
 
@@ -113,10 +114,11 @@
 
 
 def _read_ended(body: bytes) -> Event:
-    (_, call, n, address, port, verdict, spent, over, used, units, _), rest = _counted(_ENDED, body, 4, "COMPLETED")
+    head, rest = _counted(_ENDED, body, 4, "COMPLETED")
+    _, call, n, address, port, verdict, spent, over, used, units, _ = head
     return AttemptEnded(call, n, _backend(address, port), _choice(Outcome, verdict, "COMPLETED verdict"),
-                        _number(spent, "COMPLETED spent"), bool(over), used - 1.0 if used else None, float(units),
-                        _floats(rest, "COMPLETED telemetry"))
+                        _number(spent, "COMPLETED spent"), bool(over), used - 1.0 if used else None,
+                        float(units), _floats(rest, "COMPLETED telemetry"))
 
 
 def _read_withdrawn(body: bytes) -> Event:
@@ -152,12 +154,18 @@
 }
 
 
-def read_event(code: int, body: bytes) -> Event:
+def read_event(code: int, body: bytes, settings: Settings) -> Event:
     """The event in a record that is neither a start nor a stop."""
     reader = _READERS.get(code)
     if reader is None:
         raise WireError(f"unknown event code {code}")
-    return reader(body)
+    event = reader(body)
+    if isinstance(event, RequestArrived):
+        for what, number, known in (("band", event.cls, len(settings.classes)),
+                                    ("tariff", event.plan, len(settings.plans))):
+            if number >= known:
+                raise WireError(f"ACCEPT {what}: {number} is not below {known}")
+    return event
 
 
 def read_provision(body: bytes) -> tuple[int, Settings]:
@@ -254,13 +262,13 @@
             raise WireError(f"settings: {c}idempotency: {effect!r} is unknown")
         classes.append(RequestClass(
             r.number(c + "aim"), r.number(c + "hard_limit"), r.number(c + "points"), _EFFECTS[effect],
-            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"), r.number(c + "dedup_window", 0),
-            r.number(c + "late_worth", 0), r.text(c + "name", "")))
+            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"),
+            r.number(c + "dedup_window", 0), r.number(c + "late_worth", 0), r.text(c + "name", "")))
     plans = [Plan(r.number(p + "per_second"), r.number(p + "peak_units"), r.whole(p + "at_once", 0),
                   r.number(p + "price", 1), r.number(p + "over_worth", 0), r.number(p + "excess_cost", 0),
                   r.number(p + "cap_rate", 0), r.number(p + "ceiling_burst", 0), r.number(p + "tolerance", 0),
                   r.text(p + "name", "")) for p in r.items("plans")]
-    reports = r.text("telemetry.fields", "")
+    reported = r.text("telemetry.via", "off") != "off" and r.text("telemetry.fields", "")
     return Settings(
         gateways=r.whole("balancers"), index=r.whole("index"), classes=tuple(classes), plans=tuple(plans),
         max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
@@ -275,4 +283,4 @@
         peer_in_per_s=r.number("extra.peer_intake", 0), counter=r.truth("extra.has_counter"),
         counter_timeout_ms=r.number("extra.count_wait", 0), counter_price=r.number("extra.counter_price", 0),
         meter_ms=r.number("extra.meter", 0), settled_after=r.truth("extra.cost_after"),
-        report_fields=tuple(reports.split(",")) if reports and r.text("telemetry.via", "off") != "off" else ())
+        report_fields=tuple(reported.split(",")) if reported else ())
