--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -27,7 +27,6 @@
 KEEP = 0.9  # weight of the past in moving means: about the last ten answers
 LEARN = 0.01  # how far one answer moves what a class is known to take
 PILE = 1.0  # outstanding requests that a backend serves side by side without being slower for it
-REPORTED = 0.3  # weight of what others are told to have there: old news, and served by more than one core
 BLAME = 0.3  # how far one bad sign moves a backend's trouble toward certain
 FORGIVE_MS = 3000.0  # time in which trouble fades to a third, so that a suspect is tried again
 DREAD = 10.0  # a certainly troubled backend counts as so many times slower
@@ -141,7 +140,7 @@
         self.load = 0.0  # work outstanding from here, in mean requests
         self.slowness, self.slow_at = 1.0, 0.0  # time taken over time expected at that pile
         self.trouble, self.trouble_at = 0.0, 0.0
-        self.heard_at = self.others = 0.0
+        self.heard_at = 0.0
         self.spent: deque[tuple[float, float]] = deque()  # sends in the cold window: when, work
 
     def warmth(self, now: float, settings: Settings) -> float:
@@ -153,7 +152,7 @@
 
     def pile(self, now: float, settings: Settings) -> float:
         """What stands there from here, as a warm backend of size one would feel it."""
-        return PILE + (self.load + REPORTED * self.others) / (self.entry.size or 1.0) / self.warmth(now, settings)
+        return PILE + self.load / (self.entry.size or 1.0) / self.warmth(now, settings)
 
     def worry(self, now: float) -> float:
         """Trouble, faded by the time since the last sign."""
@@ -391,9 +390,6 @@
             _, work, load, pile = known
             backend.load = max(0.0, backend.load - load) if backend.out else 0.0
             backend.heard_at = now
-            for field, value in zip(self.settings.report_fields, event.report, strict=False):
-                if field in ("outstanding", "backlog"):
-                    backend.others = max(0.0, value - len(backend.out) * (field == "outstanding"))
             self.learn(now, backend, event, call, work, pile)
         if call is None:
             return
