--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -14,7 +14,7 @@
 
 # ---- tuned constants
 RAISE = 1.5  # a dry slice grows by half (design page)
-FALL = 0.5  # an over-used slice loses half of what it has above the even split
+FALL = 1.0  # an over-used slice loses half of what it has above the even split
 ROOM = 0.5  # of the burst: a shared store fuller than this has room, so that a slice may grow
 SPENT = 0.25  # of the burst: a shared store emptier than this is over-used, before it is beyond its quota
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
