--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -14,7 +14,7 @@
 
 # ---- tuned constants
 RAISE = 1.5  # a dry slice grows by half (design page)
-FALL = 1.0  # an over-used slice loses half of what it has above the even split
+FALL = 0.5  # an over-used slice loses half of what it has above the even split
 ROOM = 0.5  # of the burst: a shared store fuller than this has room, so that a slice may grow
 SPENT = 0.25  # of the burst: a shared store emptier than this is over-used, before it is beyond its quota
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
@@ -127,7 +127,7 @@
             return None  # first answer, or the name expired or the counter was lost
         filled = self.store + (now - last_at) / 1000 * self.plan.rate - (total - last)
         self.store = min(self.plan.burst, max(0.0, filled))
-        self.tokens = min(self.tokens, max(0.0, self.store - self.unposted))
+        self.tokens = max(self.store * self.share, min(self.tokens, self.store)) - self.unposted
         return filled < SPENT * self.plan.burst
 
 
