--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -127,7 +127,8 @@
             return None  # first answer, or the name expired or the counter was lost
         filled = self.store + (now - last_at) / 1000 * self.plan.rate - (total - last)
         self.store = min(self.plan.burst, max(0.0, filled))
-        self.tokens = max(self.store * self.share, min(self.tokens, self.store)) - self.unposted
+        part = self.store * self.share if self.store > ROOM * self.plan.burst else 0.0
+        self.tokens = max(part, min(self.tokens, self.store)) - self.unposted
         return filled < SPENT * self.plan.burst
 
 
