--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -115,8 +115,7 @@
         if over:
             self.share = max(self.even, self.share - (self.share - self.even) * FALL)
         elif self.dry and self.store > ROOM * self.plan.burst:
-            before, self.share = self.share, min(1.0, self.share * RAISE)
-            self.tokens += (self.share - before) * self.plan.burst
+            self.share = min(1.0, self.share * RAISE)
         self.dry = False
 
     def counted(self, now: float, total: float) -> bool | None:
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -87,6 +87,18 @@
     assert c.tokens == pytest.approx(2.0)
 
 
+def test_a_told_bucket_is_lifted_to_its_slice_while_the_store_has_room() -> None:
+    """Found in incident i8d7043: dry slices waited for their refill under a store more than half full."""
+    c = Customer(PLAN, 2, START)
+    c.counted(START, 0.0)
+    c.tokens = 0.0
+    c.counted(START + 1000, 12.0)  # 16 + 8 - 12 = 12, more than half of 16
+    assert c.tokens == pytest.approx(6.0)
+    c.tokens = 0.0
+    c.counted(START + 2000, 28.0)  # 12 + 8 - 16 = 4: no room
+    assert c.tokens == pytest.approx(0.0)
+
+
 def test_a_fallen_total_is_a_lost_name_and_rebases() -> None:
     c = Customer(PLAN, 4, START)
     c.counted(START, 100.0)
@@ -170,7 +182,7 @@
 
 
 def test_beyond_the_bucket_a_try_is_refused_at_once_with_a_return_time() -> None:
-    g = gateway(plans=(PLAN,))
+    g = gateway(*range(1, 30), plans=(PLAN,))
     sent = refused = 0
     for n in range(20):
         actions = g.handle(START, request(n, units=1.0))
