An overdue attempt is evidence before its answer comes

Covers stalls, freezes and lost networks. Hurts where one heavy request alone is overdue: its backend is passed over until it is done.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -140,7 +140,6 @@
         self.load = 0.0  # work outstanding from here, in mean requests
         self.slowness, self.slow_at = 1.0, 0.0  # time taken over time expected at that pile
         self.trouble, self.trouble_at = 0.0, 0.0
-        self.heard_at = 0.0
         self.spent: deque[tuple[float, float]] = deque()  # sends in the cold window: when, work
 
     def warmth(self, now: float, settings: Settings) -> float:
@@ -330,8 +329,8 @@
         """Expected time of a send to this backend; silence bounds it from below."""
         expected = work * backend.drag(now) * backend.pile(now, self.settings) / PILE
         if backend.out:
-            first = next(iter(backend.out.values()))[0]
-            expected = max(expected, now - max(first, backend.heard_at) - work)
+            sent_at, own, _, _ = next(iter(backend.out.values()))
+            expected = max(expected, now - sent_at - own)
         return expected
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
@@ -389,7 +388,6 @@
             self.attempts_out -= 1
             _, work, load, pile = known
             backend.load = max(0.0, backend.load - load) if backend.out else 0.0
-            backend.heard_at = now
             self.learn(now, backend, event, call, work, pile)
         if call is None:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,6 +165,15 @@
     assert 4 <= sent < 200
 
 
+def test_an_overdue_attempt_counts_before_its_answer() -> None:
+    """Found in incident i208070: after a crash the rest was overdriven long before its late answers told so."""
+    g = gateway(1, 2)
+    send = first_send(g, 1, UNSAFE)
+    later = START + 2000
+    late, idle = g.backends[send.backend], g.backends[3 - send.backend]
+    assert g.forecast(later, late, 100.0) > 1000 > g.forecast(later, idle, 100.0)
+
+
 def test_sends_are_spread_over_equal_backends() -> None:
     g = gateway()
     seen = [0] * 5
