--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -236,7 +236,7 @@
     for _ in range(10):
         g.handle(START, CountAnswered(9, Outcome.TIMEOUT, 30, 0.0))
     assert g.count_every > 2 * before
-    for _ in range(100):
+    for _ in range(300):
         g.handle(START, CountAnswered(9, Outcome.OK, 3, 1.0))
     assert g.count_every == before
 
