--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -22,7 +22,6 @@
 SLOTS = 40  # the counter calls of a second are spread over so many moments
 SECOND_MS = 1000.0  # how often the design looks at a customer's use
 SLOWEST_COUNT_MS = 8000.0  # under time-outs the counter is asked at least this often
-NEWS = 0.1  # of the burst: unreported use below this is not worth a call
 BACK_OFF, SPEED_UP = 1.1, 0.95  # what an unanswered and an answered call do to the time between calls
 NAME_TTL_MS = 60_000.0  # the longest life of a counter's name
 KEEP = 0.9  # weight of the past in moving means: about the last ten answers
@@ -282,7 +281,7 @@
         self.slot = (self.slot + 1) % SLOTS
         for name in self.slots[self.slot]:
             c = self.customers[name]
-            active = (c.unposted > NEWS * c.plan.burst or c.dry) and c.plan.rate and not c.waiting
+            active = (c.unposted or c.dry) and c.plan.rate and not c.waiting
             if active and now - c.asked_at >= self.count_every - SECOND_MS / SLOTS:
                 c.waiting, c.asked_at = True, now
                 c.in_flight, c.unposted = c.unposted, 0.0
