--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -66,11 +66,9 @@
 
     def covers(self, units: float, marked: bool, reserve: float) -> bool:
         """Whether the bucket lets this try pass; a full bucket does, or a large request never would."""
-        if not self.plan.rate:
-            return True
         burst = self.plan.burst * self.share
         left = self.tokens - (0 if marked else reserve * burst)
-        return left >= units or self.tokens >= burst
+        return not self.plan.rate or left >= units or self.tokens >= burst
 
     def learn(self, units: float) -> None:
         """An answer's units go into the sums (never aged)."""
@@ -199,8 +197,7 @@
         self.calls: dict[int, Call] = {}
         self.ticking = False
         self.slot = self.attempts_out = 0
-        self.count_every = SECOND_MS
-        self.retries = RETRY_MOST
+        self.count_every, self.retries = SECOND_MS, RETRY_MOST
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
         self.peak_work = 1000 / settings.gateways  # work a second that a warm backend surely takes from here
@@ -279,6 +276,7 @@
         """One of the second's moments: ask the counter for the customers whose turn it is."""
         self.actions.append(SetTimer(SECOND_MS / SLOTS, 0))
         self.slot = (self.slot + 1) % SLOTS
+        self.slots[self.slot] = [n for n in self.slots[self.slot] if not self.forgotten(now, n)]
         for name in self.slots[self.slot]:
             c = self.customers[name]
             active = (c.unposted or c.dry) and c.plan.rate and not c.waiting
@@ -287,6 +285,11 @@
                 c.in_flight, c.unposted = c.unposted, 0.0
                 self.actions.append(Count(name, c.in_flight, NAME_TTL_MS))
 
+    def forgotten(self, now: float, name: int) -> bool:
+        """Drop a customer idle for a name's life: a fresh one would be the same, but for its unit sums."""
+        idle = now - self.customers[name].filled_at > NAME_TTL_MS and not self.customers[name].waiting
+        return idle and self.customers.pop(name) is not None
+
     def count_answered(self, now: float, event: CountAnswered) -> None:
         """Guards against a slow, full or lost counter: never add twice, ask less, hold the last rate."""
         if (c := self.customers.get(event.name)) is None:
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -245,3 +245,16 @@
     for plan, sends in ((Plan(1, 2, over_worth=0.3), 20), (Plan(1, 2, over_worth=0.3, over_cost=0.4), 1)):
         g = gateway(*range(1, 60), plans=(plan,), classes=(SAFE,))
         assert sum(len(only(g.handle(START, request(n)), Send)) for n in range(20)) == pytest.approx(sends, abs=1)
+
+
+def test_idle_customers_are_forgotten() -> None:
+    """A gateway in service for weeks must not keep every customer it ever saw."""
+    g = gateway(*range(1, 9), plans=(PLAN,), counter=True)
+    for n in range(50):
+        g.handle(START, request(n, customer=n))
+    run_second(g, START)
+    for n in range(50):
+        g.handle(START + 1500, CountAnswered(n, Outcome.OK, 3, 1.0))
+    assert len(g.customers) == 50
+    run_second(g, START + 70_000)
+    assert not g.customers and not any(g.slots)
