--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -207,7 +207,7 @@
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
         self.actions = []
-        if not self.ticking and self.settings.counter:
+        if not self.ticking and self.settings.counter and not self.settings.meter_ms:
             self.ticking = True
             self.actions.append(SetTimer(SECOND_MS / SLOTS, 0))
         match event:
@@ -258,17 +258,14 @@
         backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
         if backend is None:
             return self.refuse(now, call)
-        if inside:
-            customer.tokens -= event.units
-        if plan.ceiling_rate:
-            customer.cap_tokens -= event.units
+        customer.tokens -= event.units if inside else 0.0
+        customer.cap_tokens -= event.units if plan.ceiling_rate else 0.0
         customer.unposted += event.units
         self.send(now, call, backend)
 
     def refuse(self, now: float, call: Call) -> None:
         """Final answer: the client is told when to come back."""
-        no_show = NO_SHOW_MS if self.settings.marks_retry else 0.0
-        wait = call.customer.return_time(now, call.event.units, no_show)
+        wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
         self.actions.append(Refuse(call.event.request, wait))
         self.calls.pop(call.event.request, None)
 
@@ -394,6 +391,9 @@
             self.learn(now, backend, event, call, work, pile)
         if call is None:
             return
+        if event.used_percent is not None and now - call.customer.asked_at >= SECOND_MS:
+            call.customer.asked_at = now  # the site has a meter: each second it takes the counter's place
+            call.customer.follow(event.used_percent >= 100)
         if event.outcome is Outcome.OK:
             units = event.true_units or call.event.units
             call.customer.learn(units)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -258,3 +258,17 @@
     assert len(g.customers) == 50
     run_second(g, START + 70_000)
     assert not g.customers and not any(g.slots)
+
+
+def test_a_meter_takes_the_counters_place() -> None:
+    g = gateway(*range(1, 9), plans=(PLAN,), counter=True, meter_ms=1000)
+    c = None
+    for n, (used, share) in enumerate([(50.0, 0.75), (50.0, 1.0), (120.0, 0.75), (100.0, 0.625)]):
+        now = START + 1100 * n
+        (send,) = g.handle(now, request(n, units=0.5))  # the only action: no timer, no call to the counter
+        c = c or g.customers[9]
+        c.dry = True
+        event = ended(n, send.backend, took=50)
+        event.used_percent = used
+        g.handle(now + 50, event)
+        assert c.share == pytest.approx(share)
