--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -197,11 +197,11 @@
     assert tries[-1] > START + 10_000
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "end", "end", "end", "leave", "fleet", "timer"]),
+STEPS = st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "end", "end", "end", "leave", "fleet", "timer", "restart"]),
                            st.integers(0, 10**6), st.integers(0, 400)), min_size=5, max_size=60)
 
 
-def play(handle, s, steps) -> Checker:
+def play(handle, s, steps, restart=None) -> Checker:
     checker = Checker(handle, s)
     now, number, out = START, 0, []
     checker.feed(now, fleet(1, 2, 3, 4))
@@ -237,6 +237,12 @@
             checker.feed(now, fleet(*ids, state=state, kind=kind, up=now if pick % 5 == 0 else 0.0))
         elif what == "timer":
             checker.feed(now, TimerFired(pick % 2))
+        elif what == "restart" and restart is not None:  # what it held is the clients' to retry
+            out.clear()
+            for t in checker.tries.values():
+                t.closed = True
+            checker.handle = restart()
+            checker.feed(now, fleet(*[i for i in checker.named if i not in checker.told], kind=ListKind.CACHED))
     for _ in range(20):
         now += 1
         for _ in range(len(out)):
@@ -252,7 +258,7 @@
 @hypothesis_settings(derandomize=True, max_examples=300, deadline=None)
 def test_the_rules_hold_under_odd_legal_orders(steps: list, marks: bool) -> None:
     s = settings(plans=PLANS, marks_retry=marks, counter=True)
-    play(Gateway(s, 3).handle, s, steps)
+    play(Gateway(s, 3).handle, s, steps, lambda: Gateway(s, 4).handle)
 
 
 class Broken(Gateway):
