Sends thin out sooner and sharper; mean work follows; five backends a gateway

Did not help: refusing unknown customers by the share of granted asks (no change), fewer or slower calls, a cold part twice as large. May hurt where one long request is mistaken for a jam.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -31,12 +31,12 @@
 BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend (for other classes half), toward what
 FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
-NEAR, LOOK = 8, 16  # backends that a gateway keeps to, so that it knows them; and compares for one send
+NEAR, LOOK = 5, 16  # backends that a gateway keeps to, so that it knows them; and compares for one send
 COLD_PART = 0.8  # of the work that would push over a cold backend of the least speed, all gateways together
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
-PATIENCE, CHEAP_PATIENCE = 0.4, 0.25  # of the aim: the forecast that work of most and of no worth may meet
+PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
-RESOLVE = 4.0  # how sharply sends thin out while the forecast passes the patience
+RESOLVE = 8.0  # how sharply sends thin out while the forecast passes the patience
 
 
 class Slowness:
@@ -394,7 +394,7 @@
         backend.out[call.event.request, len(call.tried)] = now, call.work, pile, call.event.cls
         backend.load += call.work
         backend.cold_left -= call.work
-        self.mean_work += (call.work - self.mean_work) * LEARN
+        self.mean_work += (call.work - self.mean_work) * (1 - KEEP) / 2
         call.tried.append(backend)
         self.actions.append(Send(call.event.request, backend.entry.backend))
 
@@ -448,7 +448,7 @@
         fleet = self.slowness.now(now)
         if event.outcome is Outcome.OK:
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
-            self.unit_ms[cls] *= 1 + (took - 1) * LEARN
+            self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             for c, slowness in enumerate(backend.slowness):
                 slowness.sign(now, max(DREAD, took), BLAME if c == cls else BLAME / 2, fleet)
