--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -17,11 +17,11 @@
 
 # ---- tuned constants
 RAISE, FALL = 1.5, 0.5  # a dry slice grows by half (design page); an over-used one loses half of its growth
-ROOM, SPENT = 0.8, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
+ROOM, SPENT = 0.9, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
 NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
 SECOND_MS, NAME_TTL_MS = 1000.0, 60_000.0  # how often a slice may grow; the longest life of a counter's name
-OLD_NEWS = 0.3  # of the quota's rate: how fast a told store is believed to refill, when asking is free
+OLD_NEWS = 0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
 DRIFT = 0.5  # of the burst: a count this far from the store is put right by a call of its own
 LUMP, CROWDED = 0.08, 0.4  # of the burst: reported at once; calling less freely leaves calls out by chance
 ASK_FIRST, ASK_LEAST = 0.5, 0.01  # how freely the counter is called: at start, at least
