--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -28,7 +28,7 @@
 ASK_LESS, ASK_MORE = 0.7, 0.04  # what a late and a prompt answer do to that
 LATE_ANSWER = 0.8  # of the counter's time-out: an answer this slow is a sign of a crowded counter
 KEEP, LEARN = 0.9, 0.01  # weight of the past in moving means; how far an answer moves what a class takes
-BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend (for other classes half), toward what
+BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
 FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
 NEAR, LOOK = 5, 16  # backends that a gateway keeps to, so that it knows them; and compares for one send
@@ -183,7 +183,6 @@
         return self.actions
 
     def withdrawn(self, now: float, event: RequestWithdrawn | AttemptEnded) -> None:
-        """Nothing more is owed."""
         self.calls.pop(event.request, None)
 
     # ---- quotas: the ordinary path
@@ -442,7 +441,7 @@
         self.calls.pop(call.event.request, None)
 
     def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
-        """Every kind of sign moves one measure, most for its own class: a backend may fail just that one."""
+        """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
         _, work, pile, cls = sent
         took = event.elapsed_ms / pile / work
         fleet = self.slowness.now(now)
@@ -450,7 +449,8 @@
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
             self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
-            for c, slowness in enumerate(backend.slowness):
-                slowness.sign(now, max(DREAD, took), BLAME if c == cls else BLAME / 2, fleet)
+            own = event.outcome in (Outcome.ERROR, Outcome.TIMEOUT)  # it may fail just this class
+            for c in [cls] if own else range(len(self.unit_ms)):
+                backend.slowness[c].sign(now, max(DREAD, took), BLAME, fleet)
         if event.outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
             self.slowness.sign(now, DREAD / 2 if event.outcome is Outcome.FULL else took, 1 - KEEP)
