--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -36,7 +36,7 @@
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
-RESOLVE = 8.0  # how sharply sends thin out while the forecast passes the patience
+RESOLVE = 16.0  # how sharply sends thin out while the forecast passes the patience
 
 
 class Slowness:
