Forward authentication: permits as a state machine, gate, open limits, admin thread, proxy stand-in

Need: sub-requests and reports come twice, too early, too late, to another instance or about what was refused; a front under load must answer its most valued classes in time; plans may bound requests open at once. Change: forward/permits decides each name once (deciding, held, refused, settled, lapsed); what a proxy lets pass without our word is counted by a new event of the module (UsePassed); forward/gate, forward/networks, limits/open; health and counts on a thread of their own; statuses for proxies that pass only 401 and 403; a stand-in that asks as nginx, Traefik, Caddy and Envoy do. A client's own name is no longer a sign of a repeat: it was a way past the quota. One builder of Plan. import-linter holds the floors in make lint.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 lint: .venv/.ready
 	.venv/bin/ruff check .
 	.venv/bin/mypy
+	.venv/bin/lint-imports --no-cache --no-logo
 
 test: lint
 	$(PY) -m pytest -q -p no:cacheprovider
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -13,7 +13,7 @@
 from tamarindfold.interface import (
     Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, PlansChanged, Refuse, RequestArrived, RequestClass,
-    RequestWithdrawn, Send, Settings, Why,
+    RequestWithdrawn, Send, Settings, UsePassed, Why,
 )
 
 # ---- tuned constants
@@ -188,7 +188,8 @@
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
-            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, PlansChanged: self.plans_changed}
+            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, PlansChanged: self.plans_changed,
+            UsePassed: self.passed}
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -206,7 +207,7 @@
 
     # ---- quotas: the ordinary path
 
-    def customer(self, now: float, event: RequestArrived) -> Customer:
+    def customer(self, now: float, event: RequestArrived | UsePassed) -> Customer:
         """The customer of a request; one idle for a name's life is dropped: a fresh one does as well."""
         known, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
         if known is None:
@@ -268,6 +269,14 @@
         self.actions.append(Refuse(call.event.request, wait, why))
         self.calls.pop(call.event.request, None)
 
+    def passed(self, now: float, event: UsePassed) -> None:
+        """What a proxy let pass by itself was used all the same: bucket, ceiling and counter are told."""
+        customer = self.customer(now, event)
+        customer.tokens -= event.units if customer.plan.rate else 0.0
+        customer.cap_tokens -= event.units if customer.plan.ceiling_rate else 0.0
+        customer.debt += event.units
+        self.settle(now, customer)
+
     # ---- what the counter knows of a customer
 
     def settle(self, now: float, customer: Customer, call: Call | None = None) -> None:
--- a/tamarindfold/cli/serve.py
+++ b/tamarindfold/cli/serve.py
@@ -48,10 +48,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     click.echo(f"listening on {host}:{port}")
+    if ingress.forward_listener is not None and config.forward is not None:
+        click.echo(f"forward-auth on {config.forward.host}:{ingress.forward_listener.server_port}")
+    if ingress.admin is not None:
+        click.echo(f"admin on {ingress.admin.host}:{ingress.admin.port}")
     sys.stdout.flush()
     stop.wait()
     if not ingress.stop():
-        log("ingress.stopped_with_requests_held", held=ingress.front.held)
+        log("ingress.stopped_with_requests_held", held=ingress.held)
 
 
 @click.command()
@@ -62,6 +66,11 @@
     instance = config.instance
     click.echo(f"gateway {instance.index} of {instance.gateways}, listening on "
                f"{config.listen.host}:{config.listen.port or '(chosen by the system)'}")
+    if (section := config.forward) is not None:
+        chooses = "the gateway" if section.form == "report" else "the proxy"
+        click.echo(f"forward authentication on {section.host}:{section.port or '(chosen by the system)'} for "
+                   f"{', '.join(section.trusted)}; {chooses} chooses the server; "
+                   f"decided within {section.decide_ms:g} ms")
     for cls in config.classes:
         routes = ", ".join(f"{r.method} {r.path}" for r in config.routes if r.cls == cls.name) or "no route"
         keyed = f", repeats dropped for {cls.window_ms:g} ms by {cls.group}" if cls.effect == "keyed" else ""
--- a/tamarindfold/cli/standin.py
+++ b/tamarindfold/cli/standin.py
@@ -11,13 +11,14 @@
 
 from tamarindfold.config.load import ConfigError, convert, read_yaml
 
-NAMES = ("tariff", "tokens", "counter", "fleet")
+NAMES = ("tariff", "tokens", "counter", "fleet", "proxy")
 
 
 def make(name: str, data: Any, where: str) -> Any:
     """A stand-in from plain values; ConfigError where they don't fit."""
     from tamarindfold.standins.counter import CounterServer, CounterStandinConfig
     from tamarindfold.standins.fleet import FleetConfig, FleetServer
+    from tamarindfold.standins.proxy import ProxyConfig, ProxyServer
     from tamarindfold.standins.tariff import TariffConfig, TariffServer
     from tamarindfold.standins.tokens import TokensConfig, TokenServer
 
@@ -29,6 +30,8 @@
                 return TokenServer(convert(data, TokensConfig, where))
             case "counter":
                 return CounterServer(convert(data, CounterStandinConfig, where))
+            case "proxy":
+                return ProxyServer(convert(data, ProxyConfig, where))
         return FleetServer(convert(data, FleetConfig, where))
     except ValueError as error:
         if isinstance(error, ConfigError):
--- a/tamarindfold/config/derive.py
+++ b/tamarindfold/config/derive.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import fields
 from ipaddress import AddressValueError, IPv4Address, ip_network
+from typing import Any
 
 from tamarindfold.config.model import GatewayConfig
 from tamarindfold.interface import BackendEntry, Effect, Group, Plan, RequestClass, Settings
@@ -30,9 +32,15 @@
     return str(IPv4Address(backend >> 16)), backend & 0xFFFF
 
 
+_PLAN_FIGURES = tuple(f.name for f in fields(Plan) if f.name not in ("name", "version"))
 NO_PLANS_YET = Plan(0, 0, name="none")  # until the registry's are known; no request is taken before that
 
 
+def plan(figures: Any, name: str, version: int = 0) -> Plan:
+    """The module's plan from what a configuration or the registry grants: figures by the module's names."""
+    return Plan(**{key: getattr(figures, key) for key in _PLAN_FIGURES}, name=name, version=version)
+
+
 def settings(config: GatewayConfig) -> Settings:
     """The module's settings for this gateway."""
     counter = config.counter
@@ -40,8 +48,7 @@
         gateways=config.instance.gateways, index=config.instance.index, zone=config.instance.zone,
         classes=tuple(RequestClass(c.aim_ms, c.deadline_ms, c.worth, Effect(c.effect), Group(c.group),
                                    c.window_ms, c.late_worth, c.name) for c in config.classes),
-        plans=tuple(Plan(p.rate, p.burst, p.open_limit, p.price, p.over_worth, p.over_cost, p.ceiling_rate,
-                         p.ceiling_burst, p.ceiling_slack, p.name) for p in config.plans) or (NO_PLANS_YET,),
+        plans=tuple(plan(p, p.name) for p in config.plans) or (NO_PLANS_YET,),
         max_attempts=config.upstream.max_attempts, start_capacity=config.safety.start_capacity,
         cold_ms=config.safety.cold_ms, fall_multiple=config.safety.fall_multiple,
         overload_ms=config.safety.overload_ms, drain_grace_ms=config.safety.drain_grace_ms,
@@ -63,6 +70,21 @@
             raise ValueError(f"{what}: {name!r} is named twice")
 
 
+def _networks(texts: list[str], what: str) -> None:
+    for i, text in enumerate(texts):
+        try:
+            ip_network(text)
+        except ValueError as error:
+            raise ValueError(f"{what}[{i}]: {error}") from None
+
+
+def fronts(config: GatewayConfig) -> list[str]:
+    """The fronts that are served."""
+    if config.fronts is not None:
+        return list(config.fronts)
+    return ["proxy", "forward-auth"] if config.forward is not None else ["proxy"]
+
+
 def check(config: GatewayConfig) -> None:
     """ValueError where parts of the configuration contradict each other."""
     if config.instance.index >= config.instance.gateways:
@@ -100,11 +122,16 @@
             raise ValueError("plans: the registry has them; give either plans or identity")
     elif not config.plans:
         raise ValueError("plans: at least one is needed without identity")
+    serves = fronts(config)
+    if len(set(serves)) < len(serves):
+        raise ValueError("fronts: one is named twice")
+    if ("forward-auth" in serves) != (config.forward is not None):
+        raise ValueError("fronts: forward-auth goes with a section `forward`, and only with it")
     if config.forward is not None:
-        for i, network in enumerate(config.forward.trusted):
-            try:
-                ip_network(network)
-            except ValueError as error:
-                raise ValueError(f"forward.trusted[{i}]: {error}") from None
+        _networks(config.forward.trusted, "forward.trusted")
+        if config.forward.most_deciding > config.forward.most_permits:
+            raise ValueError("forward.most_deciding: above forward.most_permits")
+    _networks([n.network for n in config.networks], "networks")
+    _unique([n.network for n in config.networks], "networks")
     static_entries(config)
     settings(config)
--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -149,14 +149,57 @@
     reconnect_ms: MsAboveNought = 250
 
 
+HeaderName = Annotated[str, Meta(pattern=r"^[A-Za-z][A-Za-z0-9-]{0,63}$")]
+
+
+class ForwardNames(Section, frozen=True):
+    """The headers in which the proxies tell the original request: of each kind, any of the names."""
+
+    method: tuple[HeaderName, ...] = ("x-forwarded-method", "x-original-method")
+    uri: tuple[HeaderName, ...] = ("x-forwarded-uri", "x-original-uri", "x-original-url")
+    host: tuple[HeaderName, ...] = ("x-forwarded-host", "x-original-host")
+    request: HeaderName = "x-request-id"  # the proxy's own name for a request; clients must not reach it
+
+
 class Forward(Section, frozen=True):
     """Forward authentication: where proxies ask, and whose word is believed."""
 
     trusted: Annotated[list[str], Meta(min_length=1)]  # networks (CIDR) of the proxies
     host: str = "127.0.0.1"
     port: Port = 0
+    backlog: Count = 128  # connections that wait to be accepted; beyond them the system turns away
+    connections: Count = 2_000
+    form: Literal["report", "decide"] = "report"  # decide: the proxy chooses the server and need not report
+    refusals: Literal["as_is", "as_403"] = "as_is"  # as_403: for proxies that pass only 401 and 403 on
+    names: ForwardNames = ForwardNames()
+    prefix: Annotated[str, Meta(pattern=r"^(/[A-Za-z0-9._-]+)*$")] = ""
+    hosts: list[str] = []  # original hosts that are served; empty: all
+    decide_ms: MsAboveNought = 250  # a decision takes no longer, or is a refusal
+    body_ms: MsAboveNought = 25  # a sub-request's body that was announced and does not come is not waited for
+    most_deciding: Count = 1_000
     most_permits: Count = 10_000
     lapse_ms: Ms = 1_000  # a permit not reported so long after the client's deadline lapses
+    hold_ms: Ms = 250  # form decide: how long a permit counts as work under way
+    most_repeats: Annotated[int, Meta(ge=0)] = 2  # sub-requests under one name that are answered alike
+    remember_ms: MsAboveNought = 60_000  # what became of a name, for reports that come late or twice
+    most_remembered: Count = 50_000
+
+
+class Network(Section, frozen=True):
+    """What is so of clients from a network; the longest network that holds an address counts alone."""
+
+    network: str
+    refuse: bool = False
+    zone: Annotated[int, Meta(ge=0)] | None = None  # handed on as tamarind-zone
+
+
+class Admin(Section, frozen=True):
+    """Health and counts, served by a thread of their own: no load on the fronts hides them."""
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    connections: Count = 8
+    stale_ms: MsAboveNought = 2_000  # the loop did not turn for so long: not healthy
 
 
 class CounterConfig(Section, frozen=True):
@@ -218,7 +261,7 @@
 
 
 class GatewayConfig(Section, frozen=True):
-    """The whole file."""
+    """The whole file. fronts: not given, the proxy front, and forward-auth where there is a section of it."""
 
     classes: Annotated[list[ClassConfig], Meta(min_length=1)]
     routes: Annotated[list[Route], Meta(min_length=1)]
@@ -226,7 +269,10 @@
     introspection: Introspection
     plans: list[PlanConfig] = []
     identity: IdentityConfig | None = None
+    fronts: Annotated[list[Literal["proxy", "forward-auth"]], Meta(min_length=1)] | None = None
     forward: Forward | None = None
+    networks: list[Network] = []
+    admin: Admin | None = None
     instance: Instance = Instance()
     listen: Listen = Listen()
     limits: Limits = Limits()
--- a/tamarindfold/forward/original.py
+++ b/tamarindfold/forward/original.py
@@ -2,23 +2,70 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import dataclass
+
 from tamarindfold.http1.requests import Rejected, Request
 
 METHOD = (b"x-forwarded-method", b"x-original-method")
 URI = (b"x-forwarded-uri", b"x-original-uri", b"x-original-url")
+HOST = (b"x-forwarded-host", b"x-original-host")
+MOST_METHOD = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Where the proxies tell the original request. prefix: for those that send the original method and path
+    themselves, below a path of ours, and name neither in a header (Envoy's path_prefix)."""
+
+    method: tuple[bytes, ...] = METHOD
+    uri: tuple[bytes, ...] = URI
+    host: tuple[bytes, ...] = HOST
+    prefix: bytes = b""
+    hosts: frozenset[bytes] = frozenset()  # those served; empty: all
 
+    @classmethod
+    def of(cls, method: Sequence[str], uri: Sequence[str], host: Sequence[str], prefix: str,
+           hosts: Sequence[str]) -> Names:
+        """From the configuration's words."""
+        def low(names: Sequence[str]) -> tuple[bytes, ...]:
+            return tuple(name.lower().encode() for name in names)
 
-def _first(request: Request, names: tuple[bytes, ...], what: str) -> bytes:
+        return cls(low(method), low(uri), low(host), prefix.encode(), frozenset(low(hosts)))
+
+
+def _one(request: Request, names: tuple[bytes, ...], what: str) -> bytes | None:
+    """The one value that these headers give; Rejected where two differ."""
     found = {value for name in names if (value := request.get(name)) is not None}
-    if len(found) != 1:
-        raise Rejected(400, f"no {what} of the original request" if not found else f"two {what}s that differ")
-    return found.pop()
+    if len(found) > 1:
+        raise Rejected(400, f"two {what}s that differ")
+    return found.pop() if found else None
 
 
-def original(request: Request) -> Request:
+def original(request: Request, names: Names) -> Request:
     """What the client asked the proxy; Rejected(400) where the proxy does not say, or says two things."""
-    method = _first(request, METHOD, "method")
-    if not method.isalpha() or not method.isupper() or len(method) > 16:
+    method = _one(request, names.method, "method")
+    target = _one(request, names.uri, "URI")
+    if names.prefix and request.target.startswith(names.prefix + b"/"):
+        own = request.target[len(names.prefix):]
+        if target not in (None, own):
+            raise Rejected(400, "the path and the headers name two URIs that differ")
+        target = own
+        method = request.method.encode() if method is None else method
+    for value, what in ((method, "method"), (target, "URI")):
+        if value is None:
+            raise Rejected(400, f"no {what} of the original request")
+    assert method is not None and target is not None
+    if not method.isalpha() or not method.isupper() or len(method) > MOST_METHOD:
         raise Rejected(400, "the original method is none")
-    target = _first(request, URI, "URI")
+    if names.hosts:
+        host = _one(request, names.host, "host") or request.get(b"host") or b""
+        if _bare(host) not in names.hosts:
+            raise Rejected(404, "no such host is served")
     return Request(method.decode(), target, request.headers, b"", request.keep_alive, request.version)
+
+
+def _bare(host: bytes) -> bytes:
+    """A host without its port, in lower case."""
+    name, colon, port = host.lower().rpartition(b":")
+    return name if colon and port.isdigit() else host.lower()
--- a/tamarindfold/http1/requests.py
+++ b/tamarindfold/http1/requests.py
@@ -71,6 +71,13 @@
         if not self.in_body and self.in_message and self._fed > self.header_bytes:
             raise Rejected(431, f"the header is over {self.header_bytes} bytes")
 
+    def head(self) -> Request | None:
+        """The request whose header is whole and whose body is still to come; it ends the connection."""
+        if not self.in_body:
+            return None
+        now = self._now
+        return Request(now.method, now.target, now.headers, b"", False, now.version)
+
     # ---- called by the parser
 
     def _reject(self, status: int, detail: str) -> None:
--- a/tamarindfold/ingress/answers.py
+++ b/tamarindfold/ingress/answers.py
@@ -20,6 +20,7 @@
 _REFUSED = {
     Why.QUOTA: (429, "Quota used up", "The customer's quota has no room for this request now."),
     Why.PRESSURE: (503, "Servers pressed", "The servers could not answer in time now."),
+    Why.OPEN: (429, "Too many at once", "Too many of the customer's requests are open now."),
     Why.TRIED: (503, "No server took it", "No server took it: it did not run, or may safely be repeated."),
 }
 
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -9,11 +9,18 @@
 import gevent
 
 from tamarindfold.choice import Gateway
-from tamarindfold.ingress.exchange import Exchange, Expired, Failed, Final, Left, Refused, Served
+from tamarindfold.ingress.exchange import (
+    Exchange, Expired, Failed, Final, Lapsed, Left, Refused, Served,
+)
 from tamarindfold.interface import (
     AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, TimerFired,
+    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, TimerFired, Why,
 )
+from tamarindfold.limits.open import OpenLimits
+
+
+_KINDS: dict[type[Final], str] = {Served: "served", Refused: "refused", Failed: "failed", Expired: "expired",
+                                  Left: "left", Lapsed: "lapsed"}
 
 
 class Sender(Protocol):
@@ -47,8 +54,9 @@
         self.busy = False
         self.still_known: Callable[[Any], bool] | None = None  # whether a credential is good still
         self.numbers = 0
+        self.limits = OpenLimits(gateway.settings.gateways, gateway.settings.index)
         self.counts = dict.fromkeys(
-            ("arrived", "served", "refused", "failed", "expired", "left", "attempts", "moot"), 0)
+            ("arrived", "served", "refused", "failed", "expired", "left", "lapsed", "attempts", "moot"), 0)
 
     # ---- events from the drivers
 
@@ -57,6 +65,13 @@
         self.open[exchange.number] = exchange
         self.counts["arrived"] += 1
         gateways = self.gateway.settings.gateways
+        if limit := self.gateway.settings.plans[exchange.plan].open_limit:
+            now = self.clock()
+            wait = self.limits.take(exchange.number, exchange.customer, limit, exchange.width, now,
+                                    exchange.deadline_ms)
+            if wait is not None:
+                self._finish(exchange, Refused(wait, Why.OPEN))
+                return
         self.post(RequestArrived(
             exchange.number, exchange.customer, exchange.plan, exchange.cls, exchange.units,
             exchange.customer % gateways, exchange.width,
@@ -171,6 +186,7 @@
         if not exchange.finish(final):
             return False
         self.open.pop(exchange.number, None)
-        kind = {Served: "served", Refused: "refused", Failed: "failed", Expired: "expired", Left: "left"}
-        self.counts[kind[type(final)]] += 1
+        self.counts[_KINDS[type(final)]] += 1
+        if not isinstance(final, Lapsed):  # nobody knows whether that still runs: its lease lasts its time
+            self.limits.end(exchange.number, self.clock())
         return True
--- a/tamarindfold/ingress/exchange.py
+++ b/tamarindfold/ingress/exchange.py
@@ -46,7 +46,12 @@
     """The client went away; nobody is there to be told."""
 
 
-Final = Served | Refused | Failed | Expired | Left
+@dataclass(frozen=True, slots=True)
+class Lapsed:
+    """A permit whose outcome nobody told: unknown for good."""
+
+
+Final = Served | Refused | Failed | Expired | Left | Lapsed
 
 
 @dataclass(slots=True)
--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -7,30 +7,36 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
-
+from gevent.event import Event
 
 from tamarindfold.config.derive import backend_address
 from tamarindfold.config.model import GatewayConfig
 from tamarindfold.forward.addresses import Trust
-from tamarindfold.forward.leases import Leases, Report
-from tamarindfold.forward.original import original
+from tamarindfold.forward.gate import Gate
+from tamarindfold.forward.original import Names, original
+from tamarindfold.forward.permits import Ask, Owed, Permits, Told, outcome
+from tamarindfold.forward.reports import Report, read
 from tamarindfold.http1 import write
-from tamarindfold.http1.requests import Rejected, Request
+from tamarindfold.http1.requests import Headers, Rejected, Request
 from tamarindfold.ingress import answers
 from tamarindfold.ingress import headers as names
+from tamarindfold.ingress.admission import Asked
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.door import Door
-from tamarindfold.ingress.exchange import Exchange, Failed, Left, Refused, Served
-from tamarindfold.ingress.front import ClientConnection, Front
+from tamarindfold.ingress.exchange import Exchange, Failed, Final, Lapsed, Left, Refused, Served
+from tamarindfold.ingress.front import ClientConnection, Front, Pressed
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.ingress.upstream import Attempt
-from tamarindfold.interface import Outcome, Why
+from tamarindfold.interface import Outcome, UsePassed, Why
 
 REPORT = b"/report"
-REQUEST_ID = b"x-request-id"  # the proxy's name for a request, where the client gives none
+_TOLD = {Told.UNKNOWN: 404, Told.ELSEWHERE: 421}  # RFC 9110 section 15.5.20: the request is misdirected
+_PASSED_ON = (401, 403)  # what proxies of the auth_request kind pass on; all else is an error to them
 
 
 @dataclass(slots=True)
@@ -39,7 +45,14 @@
 
     attempt: Attempt
     answer: bytes
-    customer: int
+
+
+@dataclass(slots=True)
+class Decision:
+    """One being made, for those who ask a second time meanwhile. `answer`: None where the asker left."""
+
+    made: Event
+    answer: bytes | None = None
 
 
 class ForwardFront(Front):
@@ -50,92 +63,176 @@
         super().__init__(config, core, door, timers, clock, log)
         section = config.forward
         assert section is not None
-        self.trust, self.lapse_ms = Trust(section.trusted), section.lapse_ms
-        self.leases: Leases[Permit] = Leases(section.most_permits)
+        told = section.names
+        self.section, self.trust = section, Trust(section.trusted)
+        self.names = Names.of(told.method, told.uri, told.host, section.prefix, section.hosts)
+        self.name_header = told.request.lower().encode()
+        self.permits: Permits[Permit, Decision] = Permits(
+            config.instance.index, section.most_permits, section.most_repeats, section.most_remembered,
+            section.remember_ms)
+        self.gate = Gate([c.worth for c in config.classes], section.most_deciding, section.decide_ms,
+                         config.instance.seed)
+        self.index = b"%d" % config.instance.index
+        self.chooses = section.form == "report"
         self.connection = _Sub
         self.prefix += b"f"  # the proxy front numbers its requests alike
-        self.counts |= {"untrusted": 0, "permits": 0, "asked_again": 0}
-
-    def settle(self, report: Report) -> bool:
-        """A report came; whether there was a permit that it settles."""
-        found = self.leases.report(report)
-        if found is None:
-            return False
-        permit, how = found
-        attempt = permit.attempt
+        self.counts |= {"untrusted": 0, "permits": 0, "bodies_not_come": 0, "pressed": 0, "in_doubt": 0}
+
+    def settle(self, report: Report) -> Told:
+        """A report came: what was done with it."""
+        told, found = self.permits.report(report, self.clock())
+        if isinstance(found, Permit):
+            self._settle(found, report)
+        elif isinstance(found, Owed):
+            self.passed(found)
+        return told
+
+    def _settle(self, permit: Permit, report: Report) -> None:
+        how = outcome(report)
         served = Served(report.status, [], b"") if how is Outcome.OK else None
-        if served is None:
-            self.core.withdraw(attempt.exchange, Failed(False))  # the proxy has answered: no further attempt
-        self._end(attempt, how, report.elapsed_ms, served, report.units)
-        return True
+        if served is None:  # the proxy has answered: no further attempt
+            self.core.withdraw(permit.attempt.exchange, Failed(False))
+        self._end(permit, how, report.elapsed_ms, served, report.units)
+
+    def passed(self, owed: Owed) -> None:
+        """The proxy let through what was not permitted: it was used, so it is counted."""
+        self.core.post(UsePassed(owed.customer, owed.plan, owed.units, self.width))
 
-    def lapse(self, request: str) -> None:
+    def lapse(self, name: str, until_ms: float) -> None:
         """Nothing was reported in time."""
-        permit = self.leases.lapse(request)
+        permit = self.permits.lapse(name, until_ms, self.clock())
         if permit is not None:
-            self.core.withdraw(permit.attempt.exchange, Left())
-            self._end(permit.attempt, Outcome.CANCELLED, 0.0, None, 0.0)
+            self.core.withdraw(permit.attempt.exchange, Lapsed())
+            self._end(permit, Outcome.CANCELLED, 0.0, None, 0.0)
 
-    def _end(self, attempt: Attempt, how: Outcome, elapsed_ms: float, served: Served | None,
+    def _end(self, permit: Permit, how: Outcome, elapsed_ms: float, served: Served | None,
              units: float) -> None:
+        attempt = permit.attempt
         assert self.core.sender is not None
         self.core.sender.forget(attempt)
-        most = self.core.gateway.settings.most_units
+        if units > self.core.gateway.settings.most_units:
+            self.log("forward.bad_units", value=units)
+            units = 0.0
         self.core.attempt_ended(attempt.exchange, attempt.number, attempt.backend, how, elapsed_ms, served,
-                                units if 0 <= units <= most else 0.0)
+                                units)
 
 
 class _Sub(ClientConnection):
     """A proxy's connection: sub-requests and reports."""
 
     front: ForwardFront
+    placed = False  # whether it holds one of the gate's places
+    named = False  # whether the proxy named the request
+
+    # ---- what a proxy sends
+
+    def _without_body(self) -> Request | None:
+        """Proxies drop the body of a sub-request and may leave its announced length: it is not waited for."""
+        request = self.reader.head()
+        if request is None or request.target == REPORT:
+            return None
+        self.front.counts["bodies_not_come"] += 1
+        return request
+
+    @property
+    def body_ms(self) -> float:
+        """How long a body may take to come."""
+        head = self.reader.head()
+        waits = head is None or head.target == REPORT
+        return self.limits.body_timeout_ms if waits else self.front.section.body_ms
 
     def _answer(self, request: Request) -> bytes:
         front = self.front
-        if self.peer not in front.trust:
-            front.counts["untrusted"] += 1
-            return answers.rejected(Rejected(403, "this peer's word is not believed"), keep_alive=self.keep)
         try:
+            if self.peer not in front.trust:
+                front.counts["untrusted"] += 1
+                raise Rejected(403, "this peer's word is not believed")
             if request.target == REPORT:
                 return self._report(request)
-            asked = original(request)
+            asked = original(request, front.names)
             client = front.trust.client(self.peer, request.headers)
+            named = request.get(front.name_header)
         except Rejected as fault:
             front.counts["rejected"] += 1
-            return answers.rejected(fault, keep_alive=self.keep)
-        if not any(name == names.REQUEST for name, _ in asked.headers):
-            asked.headers += [(names.REQUEST, value) for name, value in asked.headers if name == REQUEST_ID]
-        entered = self._enter(asked, client)
-        return entered if isinstance(entered, bytes) else self._permitted(entered)
+            return self._fit(answers.rejected(fault, keep_alive=self.keep), fault.status)
+        self.named = named is not None
+        if named is not None:  # the proxy's name goes before the client's
+            kept = [pair for pair in asked.headers if pair[0] != names.REQUEST]
+            asked.headers = [*kept, (names.REQUEST, named)]
+        return self._sub_request(asked, client)
 
     def _report(self, request: Request) -> bytes:
-        """POST /report: 200 settled, 404 where no permit is held here, 400 for nonsense."""
+        """POST /report: one report, or one a line; nonsense is 400 and then nothing of it is taken."""
         if request.method != "POST":
             raise Rejected(405, "reports are posted")
+        told = [self.front.settle(report) for report in read(request.body)]
+        counts: dict[str, int] = {}
+        for one in told:
+            counts[one.value] = counts.get(one.value, 0) + 1
+        status = _TOLD.get(told[0], 200) if len(told) == 1 else 200  # a shipper must not send a batch again
+        return write.response(status, [(b"content-type", b"application/json")], msgspec.json.encode(counts),
+                              self.keep)
+
+    # ---- what it is answered
+
+    def _sub_request(self, asked: Request, client: str) -> bytes:
+        """Decide one sub-request within the time that a decision may take."""
+        self.placed = False
         try:
-            report = msgspec.json.decode(request.body, type=Report)
-        except msgspec.DecodeError as error:
-            raise Rejected(400, f"report: {error}") from None
-        if not (report.status == 0 or 100 <= report.status < 600) or not 0 <= report.elapsed_ms < 1e9:
-            raise Rejected(400, "report: no such status or time")
-        if not self.front.settle(report):
-            raise Rejected(404, "no permit of this name is held here: settled already, lapsed, or another's")
-        return write.response(200, [], b"", self.keep)
-
-    def _permitted(self, exchange: Exchange) -> bytes:
-        front = self.front
-        name = exchange.name.decode()
-        held = front.leases.held.get(name)
-        if held is not None and held.permit.customer == exchange.customer:
-            front.counts["asked_again"] += 1  # the proxy asks a second time: one try, counted once
-            return held.permit.answer
-        if held is not None or front.leases.full:
-            return answers.final(Refused(1000.0, Why.PRESSURE), exchange.name, self.keep)
+            entered = self._enter(asked, client)
+            if isinstance(entered, bytes):
+                return self._fit(entered, int(entered[9:12]))
+            return self._once(entered)
+        finally:
+            if self.placed:
+                self.front.gate.leave()
+
+    def _take_up(self, asked: Asked) -> None:
+        """Before anything costly: whether the front has time for a request of this class."""
+        wait = self.front.gate.enter(asked.cls)
+        if wait is not None:
+            self.front.counts["pressed"] += 1
+            raise Pressed(wait)
+        self.placed = True
+
+    def _once(self, exchange: Exchange) -> bytes:
+        """One decision for each name, however often it is asked about."""
+        front, name = self.front, exchange.name.decode()
+        decision = Decision(Event())
+        # a name that only the client gave is no sign of a repeat: it would be a way past the quota
+        what = ((exchange.customer, exchange.cls, exchange.units, exchange.method, exchange.target)
+                if self.named else object())
+        while True:
+            how, entry = front.permits.ask(name, what, decision, front.clock())
+            if how is Ask.AGAIN and entry is not None and entry.permit is not None:
+                return entry.permit.answer
+            if how is Ask.JOIN and entry is not None and (first := entry.decision) is not None:
+                if first.made.wait(max(0.0, self._decide_by(exchange) - front.clock()) / 1000):
+                    if first.answer is not None:
+                        return first.answer
+                    continue  # whoever asked first is gone, and nothing was counted: this one asks now
+                return self._refusal(exchange, Refused(front.section.decide_ms, Why.PRESSURE))
+            if how is Ask.FULL:
+                front.counts["full"] += 1
+                return self._refusal(exchange, Refused(front.section.decide_ms, Why.PRESSURE))
+            if how is Ask.NEW:
+                break
+            exchange.name = front.prefix + b"%x" % exchange.number
+            name = exchange.name.decode()
+        try:
+            return self._decide(exchange, name, decision)
+        except BaseException:  # this greenlet is being ended: whoever joined it asks by itself
+            if front.permits.names[name].decision is decision:
+                self._made(decision, exchange, name, Left())
+            raise
+
+    def _decide(self, exchange: Exchange, name: str, decision: Decision) -> bytes:
+        """Hand it to the module and wait for its word, for the proxy to leave, or for the time to be up."""
+        front, core = self.front, self.front.core
+        sender = core.sender
+        assert sender is not None
         self.exchange = exchange
         self._watch()
-        sender, core = front.core.sender, front.core
-        assert sender is not None
-        overdue = exchange.deadline_ms
         try:
             core.arrive(exchange)
             while exchange.todo or exchange.final is None:
@@ -145,31 +242,84 @@
                         sender.forget(attempt)
                         core.attempt_ended(exchange, attempt.number, attempt.backend, Outcome.MOOT, 0.0)
                         continue
-                    return self._give(exchange, attempt, name)
-                if not self._wait(exchange, overdue):
-                    front.counts["overdue"] += 1
-                    core.withdraw(exchange, Failed(True))
+                    return self._give(exchange, attempt, name, decision)
+                if not self._wait(exchange, self._decide_by(exchange)):
+                    front.counts["overdue"] += 1  # nothing was sent: to refuse it is the truth
+                    core.withdraw(exchange, Refused(front.section.decide_ms, Why.PRESSURE))
         finally:
             self.watcher.stop()
             self.exchange = None
+            if exchange.final is None and exchange.number in core.open and not exchange.written:
+                core.withdraw(exchange, Left())  # this greenlet is being ended
         assert exchange.final is not None
-        return answers.final(exchange.final, exchange.name, self.keep)
+        return self._made(decision, exchange, name, exchange.final)
+
+    def _decide_by(self, exchange: Exchange) -> float:
+        return min(self.began_ms + self.front.section.decide_ms, exchange.deadline_ms)
+
+    def _made(self, decision: Decision, exchange: Exchange, name: str, final: Final) -> bytes:
+        """Decided, and not to pass; what passed before by the proxy's own will is counted."""
+        front = self.front
+        owed = front.permits.refuse(name, Owed(exchange.customer, exchange.plan, exchange.units),
+                                    front.clock())
+        if owed is not None:
+            front.passed(owed)
+        answer = self._refusal(exchange, final)
+        if not isinstance(final, Left):
+            decision.answer = answer
+        decision.made.set()
+        return answer
+
+    def _refusal(self, exchange: Exchange, final: Final) -> bytes:
+        answer = answers.final(final, exchange.name, self.keep)
+        return self._fit(answer, int(answer[9:12])) if answer else answer
+
+    def _fit(self, answer: bytes, status: int) -> bytes:
+        """For proxies that pass only 401 and 403 on: the status that was meant stands in a header."""
+        if self.front.section.refusals == "as_is" or status in _PASSED_ON or status < 400:
+            return answer
+        rest = answer.partition(b"\r\n")[2]
+        return b"HTTP/1.1 403 Forbidden\r\n" + names.STATUS + b": %d\r\n" % status + rest
 
-    def _give(self, exchange: Exchange, attempt: Attempt, name: str) -> bytes:
+    def _give(self, exchange: Exchange, attempt: Attempt, name: str, decision: Decision) -> bytes:
         """Let it pass: whose it is, where to, and how long there is."""
         front, now = self.front, self.front.clock()
-        settings = front.core.gateway.settings
-        host, port = backend_address(attempt.backend)
-        answer = write.response(200, [
-            (names.OUTCOME, b"permitted"), (names.REQUEST, exchange.name),
+        section, settings = front.section, front.core.gateway.settings
+        own: Headers = [
+            (names.OUTCOME, b"permitted"), (names.REQUEST, exchange.name), (names.INSTANCE, front.index),
             (names.CUSTOMER, b"%d" % exchange.customer),
             (names.CLASS, settings.classes[exchange.cls].name.encode()),
             (names.PLAN, settings.plans[exchange.plan].name.encode()), (names.UNITS, b"%g" % exchange.units),
-            (names.SERVER, f"{host}:{port}".encode()),
-            (names.TIME_LEFT, b"%d" % max(1, exchange.give_up_ms - now))], b"", True)
-        until = exchange.deadline_ms + front.lapse_ms
-        front.leases.give(name, Permit(attempt, answer, exchange.customer), now, until)
-        front.timers.at(until, lambda: front.lapse(name))
+            (names.TIME_LEFT, b"%d" % max(1, exchange.give_up_ms - now)),
+            *(pair for pair in exchange.headers if pair[0] == names.ZONE)]
+        if front.chooses:
+            host, port = backend_address(attempt.backend)
+            own.append((names.SERVER, f"{host}:{port}".encode()))
+        answer = decision.answer = write.response(200, own, b"", True)
+        until = exchange.deadline_ms + section.lapse_ms if front.chooses else now + section.hold_ms
+        permit = Permit(attempt, answer)
         front.counts["permits"] += 1
         exchange.written += 1
+        early = front.permits.permit(name, permit, until)
+        decision.made.set()
+        if early is not None:
+            front.settle(early)
+        else:
+            front.timers.at(until, partial(front.lapse, name, until))
         return answer
+
+    def _check_by(self) -> float:
+        return self.began_ms + self.front.section.decide_ms
+
+    def _in_doubt(self, name: bytes) -> None:
+        """Should the proxy let it pass all the same, it can be charged to nobody; that is remembered."""
+        front = self.front
+        front.counts["in_doubt"] += 1
+        text = name.decode()
+        how, _ = front.permits.ask(text, None, Decision(Event()), front.clock())
+        if how is Ask.NEW:
+            front.permits.refuse(text, None, front.clock())
+
+    def _last_words(self, answer: bytes) -> None:
+        with suppress(OSError):
+            super()._last_words(answer)
--- a/tamarindfold/ingress/front.py
+++ b/tamarindfold/ingress/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -11,9 +12,11 @@
 from gevent.event import Event
 
 from tamarindfold.config.model import GatewayConfig
+from tamarindfold.forward.networks import Networks, Rule
 from tamarindfold.http1.requests import Rejected, Request, RequestReader
 from tamarindfold.ingress import answers
-from tamarindfold.ingress.admission import Forbidden
+from tamarindfold.ingress import headers as names
+from tamarindfold.ingress.admission import Asked, Forbidden
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.door import Door, Unauthorized, Unchecked
 from tamarindfold.ingress.exchange import Exchange, Failed, Left, Refused
@@ -25,6 +28,14 @@
 OVERDUE_PART = 3.0  # the margin's part left when the answer is written without the module
 
 
+class Pressed(Exception):
+    """The front itself has no time for this request now."""
+
+    def __init__(self, retry_after_ms: float) -> None:
+        super().__init__(retry_after_ms)
+        self.retry_after_ms = retry_after_ms
+
+
 class Front:
     """Serves client connections for one gateway."""
 
@@ -35,6 +46,8 @@
         self.admission = door.admission
         self.width = self.admission.width
         self.prefix = b"%d-%x-" % (config.instance.index, int(clock()))
+        self.networks = Networks((n.network, Rule(n.refuse, n.zone)) for n in config.networks
+                                 ) if config.networks else None
         self.stopping = False
         self.connection = ClientConnection  # what serves a connection
         self.held = 0  # requests taken and not yet answered
@@ -140,6 +153,8 @@
                 except TimeoutError:
                     data = b""
                 if self.late and phase:
+                    if (request := self._without_body()) is not None:
+                        return request
                     raise Rejected(408, "the request took too long to come")
                 if not data or self.late:
                     return None
@@ -150,7 +165,7 @@
                 if not reader.ready and (now_in := 2 if reader.in_body else 1) > phase:
                     phase = now_in
                     front.timers.off(timer)
-                    allowed = limits.body_timeout_ms if phase == 2 else limits.header_timeout_ms
+                    allowed = self.body_ms if phase == 2 else limits.header_timeout_ms
                     timer = front.timers.at(front.clock() + allowed, self._too_late)
         finally:
             front.timers.off(timer)
@@ -158,6 +173,15 @@
                 front.idle.discard(self.sock)
         return reader.ready.popleft()
 
+    @property
+    def body_ms(self) -> float:
+        """How long a body may take to come."""
+        return self.limits.body_timeout_ms
+
+    def _without_body(self) -> Request | None:
+        """The request of which only the body is missing, where it can be answered without."""
+        return None
+
     def _too_late(self) -> None:
         """Called when a phase's time is up: wakes the reader and leaves the socket whole for an answer."""
         self.late = True
@@ -187,10 +211,17 @@
             name = asked.name or front.prefix + b"%x" % number
             deadline = self.began_ms + asked.time_left_ms
             give_up = deadline - self.limits.answer_margin_ms
-            entry = front.door.enter(asked, give_up, peer)
+            self._take_up(asked)
+            rule = front.networks.find(peer) if front.networks is not None else None
+            if rule is not None and rule.refuse:
+                raise Forbidden("this network is not served")
+            entry = front.door.enter(asked, min(give_up, self._check_by()), peer)
         except Rejected as fault:
             front.counts["rejected"] += 1
             return answers.rejected(fault, name, self.keep)
+        except Pressed as fault:
+            self._in_doubt(name)
+            return answers.final(Refused(fault.retry_after_ms, Why.PRESSURE), name, self.keep)
         except Unauthorized as fault:
             front.counts["unauthorized"] += 1
             return answers.unauthorized(fault.status, fault.error, fault.detail, name, self.keep)
@@ -199,6 +230,7 @@
             return answers.forbidden(fault, name, self.keep)
         except Unchecked as fault:
             front.counts["unchecked"] += 1
+            self._in_doubt(name)
             return answers.refused(503, "Credential not checked", fault.detail, fault.retry_after_ms, name,
                                    self.keep)
         if front.clock() > deadline:  # the check took all the time there was: nobody waits any more
@@ -207,11 +239,24 @@
         if len(front.core.open) >= self.limits.open_requests:
             front.counts["full"] += 1
             return answers.final(Refused(1000.0, Why.PRESSURE), name, self.keep)
+        headers = [*asked.headers, answers.VIA]
+        if rule is not None and rule.zone is not None:
+            headers.append((names.ZONE, b"%d" % rule.zone))
         return Exchange(
             number, name, asked.cls, entry.customer, entry.plan, asked.units, front.width, asked.retry,
-            deadline, give_up, request.method, request.target, [*asked.headers, answers.VIA], request.body,
+            deadline, give_up, request.method, request.target, headers, request.body,
             entry.until_ms, entry.known)
 
+    def _take_up(self, asked: Asked) -> None:
+        """Raises Pressed where the front has no time for the request."""
+
+    def _check_by(self) -> float:
+        """When the look at a credential is to be over, beside the request's own time."""
+        return math.inf
+
+    def _in_doubt(self, name: bytes) -> None:
+        """A request of this name was refused because its credential could not be checked."""
+
     def _decided(self, exchange: Exchange) -> bytes:
         """Hand the request to the module and wait for its answer, or for the client to leave."""
         front = self.front
--- a/tamarindfold/ingress/headers.py
+++ b/tamarindfold/ingress/headers.py
@@ -11,6 +11,9 @@
 ATTEMPT, CUSTOMER = b"tamarind-attempt", b"tamarind-customer"
 PLAN, CLASS = b"tamarind-plan", b"tamarind-class"
 SERVER = b"tamarind-server"  # to a proxy: the server that was chosen
+INSTANCE = b"tamarind-instance"  # to a proxy: which instance the report goes to
+ZONE = b"tamarind-zone"  # of the client's network, where the configuration names one
+STATUS = b"tamarind-status"  # to a proxy that passes only 401 and 403 on: the status that was meant
 
 # server to gateway
 FULL = b"tamarind-full"  # 1, with 503: turned away unexamined, nothing ran
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -48,6 +48,7 @@
     QUOTA = "quota"
     PRESSURE = "pressure"
     TRIED = "tried"
+    OPEN = "open"  # not the module's: too many of the customer's requests are open at once (limits/open.py)
 
 
 class ListKind(IntEnum):
@@ -282,8 +283,18 @@
     plans: tuple[Plan, ...]
 
 
+@dataclass(slots=True)
+class UsePassed:
+    """A customer's use that somebody let pass without our word, or against it: to be counted, not decided."""
+
+    customer: int
+    plan: int
+    units: float
+    width: int
+
+
 Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged)
+         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged | UsePassed)
 
 
 # ---- actions
