--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -122,6 +122,7 @@
 
     front: ForwardFront
     placed = False  # whether it holds one of the gate's places
+    as_403 = False  # whether refusals are to be ones that any proxy passes on
     named = False  # whether the proxy named the request
 
     # ---- what a proxy sends
@@ -143,6 +144,7 @@
 
     def _answer(self, request: Request) -> bytes:
         front = self.front
+        self.as_403 = front.section.refusals == "as_403"
         try:
             if self.peer not in front.trust:
                 front.counts["untrusted"] += 1
@@ -152,6 +154,8 @@
             asked = original(request, front.names)
             client = front.trust.client(self.peer, request.headers)
             named = request.get(front.name_header)
+            if (wanted := request.get(names.REFUSALS)) is not None:
+                self.as_403 = wanted == b"as_403"
         except Rejected as fault:
             front.counts["rejected"] += 1
             return self._fit(answers.rejected(fault, keep_alive=self.keep), fault.status)
@@ -276,7 +280,7 @@
 
     def _fit(self, answer: bytes, status: int) -> bytes:
         """For proxies that pass only 401 and 403 on: the status that was meant stands in a header."""
-        if self.front.section.refusals == "as_is" or status in _PASSED_ON or status < 400:
+        if not self.as_403 or status in _PASSED_ON or status < 400:
             return answer
         rest = answer.partition(b"\r\n")[2]
         return b"HTTP/1.1 403 Forbidden\r\n" + names.STATUS + b": %d\r\n" % status + rest
--- a/tamarindfold/ingress/headers.py
+++ b/tamarindfold/ingress/headers.py
@@ -13,6 +13,7 @@
 SERVER = b"tamarind-server"  # to a proxy: the server that was chosen
 INSTANCE = b"tamarind-instance"  # to a proxy: which instance the report goes to
 ZONE = b"tamarind-zone"  # of the client's network, where the configuration names one
+REFUSALS = b"tamarind-refusals"  # from a proxy: as_403 or as_is, where the fleet's proxies differ
 STATUS = b"tamarind-status"  # to a proxy that passes only 401 and 403 on: the status that was meant
 
 # server to gateway
--- a/tamarindfold/rehearsal/day.py
+++ b/tamarindfold/rehearsal/day.py
@@ -42,6 +42,13 @@
     detect_ms: Ms = 1_000
 
 
+class Proxy(Section, frozen=True):
+    """One proxy in front of the forward-auth fronts (standins.proxy)."""
+
+    kind: Literal["nginx", "traefik", "caddy", "envoy"]
+    like: dict[str, Any] = field(default_factory=dict)
+
+
 class RegistryPart(Section, frozen=True):
     """Keys, customers and plans from a registry; each plan's first version."""
 
@@ -58,6 +65,7 @@
     mix: dict[str, Number]  # class to weight
     units: dict[int, Number] = field(default_factory=lambda: {1: 1.0})  # units to weight
     spread: MsAboveNought = 1.0  # how evenly over the gateways: small is uneven
+    through: Part = 0.0  # of the requests: by the proxies and the forward-auth front
     clients: Literal["library", "rude"] = "library"  # rude: tries again at once, whatever it was told
 
 
@@ -71,7 +79,7 @@
 
 
 class Event(Section, frozen=True):
-    """One thing that happens. `target` names a process: server N, instance N, counter N,
+    """One thing that happens. `target` names a process: server N, instance N, counter N, proxy N,
     tokens or fleet."""
 
     at_ms: Ms
@@ -104,6 +112,7 @@
     customers: Annotated[list[Customers], Meta(min_length=1)]
     counter: CounterParts | None = None
     registry: RegistryPart | None = None
+    proxies: list[Proxy] = field(default_factory=list)
     tokens: Tokens = Tokens()
     fleet: FleetList = FleetList()
     clients: Clients = Clients()
@@ -160,13 +169,18 @@
     known = classes(day)
     plans = list(plan_figures(day))
     most = {"server": day.servers.count, "instance": day.instances, "tokens": 1, "fleet": 1,
-            "counter": day.counter.parts if day.counter else 0, "registry": 1 if day.registry else 0}
+            "counter": day.counter.parts if day.counter else 0, "registry": 1 if day.registry else 0,
+            "proxy": len(day.proxies)}
+    if day.proxies and "forward" not in day.gateway:
+        raise ValueError("proxies: need a section gateway.forward")
     for i, group in enumerate(day.customers):
         if group.plan + ("@1" if day.registry else "") not in plans:
             raise ValueError(f"customers[{i}].plan: {group.plan!r} is not one of {', '.join(plans)}")
         for cls in group.mix:
             if cls not in known:
                 raise ValueError(f"customers[{i}].mix: {cls!r} is not one of {', '.join(known)}")
+        if group.through and not day.proxies:
+            raise ValueError(f"customers[{i}].through: there are no proxies")
         if not group.mix or not sum(group.mix.values()) or not sum(group.units.values()):
             raise ValueError(f"customers[{i}]: mix and units need weights above 0")
     for i, event in enumerate(day.events):
--- a/tamarindfold/rehearsal/evidence.py
+++ b/tamarindfold/rehearsal/evidence.py
@@ -15,8 +15,9 @@
 
     at: float
     server: str  # its address
-    peer: str
+    peer: str  # the gateway that ordered it: the sender, or who permitted it where a proxy sent it
     entry: Entry
+    ordered: float = 0.0  # when: as it came, or when its proxy got the permit
     full: bool = False  # turned away unexamined, and told so
     ran: int = 0
 
@@ -30,6 +31,7 @@
     answers: list[Entry] = field(default_factory=list)
     broken: Entry | None = None
     again: bool = False  # bytes beyond the one answer
+    let_through: bool = False  # by a proxy, without a gateway's word
     receipts: list[Receipt] = field(default_factory=list)
 
 
@@ -52,7 +54,8 @@
 
 
 def join(day: Day, clients: list[Entry], servers: list[list[Entry]], told: list[Entry],
-         run: list[Entry], counted: list[Entry] | None = None) -> Evidence:
+         run: list[Entry], counted: list[Entry] | None = None,
+         proxies: list[list[Entry]] | None = None) -> Evidence:
     """Evidence from ledgers; each server's ledger holds all its lives."""
     tries = {e["try"]: Try(e["try"], e) for e in clients if e["what"] == "sent"}
     for entry in clients:
@@ -64,6 +67,7 @@
             known.again = True
         elif entry["what"] == "broken":
             known.broken = entry
+    permits = _permits(proxies or [], run)
     strays: list[Receipt] = []
     births: dict[str, list[Entry]] = {}
     zones, cells = {}, {}
@@ -78,7 +82,9 @@
                 continue
             key = entry.get("try", ""), entry.get("attempt", 0)
             if entry["what"] == "received":
-                receipt = latest[key] = Receipt(entry["t"], address, entry["peer"], entry)
+                receipt = latest[key] = Receipt(entry["t"], address, entry["peer"], entry, entry["t"])
+                if (permit := permits.get((entry["peer"], key[0]))) is not None:
+                    receipt.ordered, receipt.peer = permit
                 if key[0] in tries:
                     tries[key[0]].receipts.append(receipt)
                 else:
@@ -89,6 +95,10 @@
                 latest[key].ran += 1
     for known in tries.values():
         known.receipts.sort(key=lambda r: r.at)
+    for ledger in proxies or []:
+        for entry in ledger:
+            if entry["what"] == "let_through" and (name := entry["try"]) in tries:
+                tries[name].let_through = True
     plans = plan_figures(day)
     instances = {e["source"]: e["index"] for e in run if e["what"] == "instance_up"}
     return Evidence(tries, strays, births, [e for e in told if e["what"] == "told"], run,
@@ -97,6 +107,13 @@
                     instances, zones, cells)
 
 
+def _permits(proxies: list[list[Entry]], run: list[Entry]) -> dict[tuple[str, str], tuple[float, str]]:
+    """By a proxy's address and a try's name: when the proxy got its permit, and which gateway gave it."""
+    sources = {e["forward"]: e["source"] for e in run if e["what"] == "instance_up" and e.get("forward")}
+    return {(ledger[0]["source"], entry["try"]): (entry["t"], sources[entry["gateway"]])
+            for ledger in proxies for entry in ledger if entry["what"] == "permitted"}
+
+
 def collect(day: Day, out: Path) -> Evidence:
     """Evidence from the ledgers that a run left in a folder."""
     ledgers = out / "ledgers"
@@ -104,4 +121,5 @@
     parts = range(day.counter.parts if day.counter else 0)
     counted = [entry for i in parts for entry in read(ledgers / f"counter-{i}.jsonl")]
     return join(day, read(ledgers / "clients.jsonl"), servers, read(ledgers / "fleet.jsonl"),
-                read(ledgers / "run.jsonl"), counted)
+                read(ledgers / "run.jsonl"), counted,
+                [read(ledgers / f"proxy-{i}.jsonl") for i in range(len(day.proxies))])
--- a/tamarindfold/rehearsal/processes.py
+++ b/tamarindfold/rehearsal/processes.py
@@ -37,6 +37,11 @@
             self.child = subprocess.Popen(
                 [sys.executable, "-m", "tamarindfold.cli.main", *self.words],
                 stdout=subprocess.PIPE, stderr=log, start_new_session=True)
+        return self.line()
+
+    def line(self) -> str:
+        """The next line that it says as it starts; StartFailed where none comes."""
+        assert self.child is not None
         with gevent.Timeout(READY_S, False):
             line: str = self.child.stdout.readline().decode().strip()
             if line:
--- a/tamarindfold/standins/proxy.py
+++ b/tamarindfold/standins/proxy.py
@@ -103,6 +103,9 @@
         self.turn = self.numbers = 0
         self.pool = Pool(5_000, 64, 4_000, 500, config.source, ANSWER_BYTES, self.clock)
 
+    def birth(self) -> dict[str, Any]:
+        return super().birth() | {"source": self.config.source, "kind": self.config.kind}
+
     def serve(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         serve_http(sock, self.clock, lambda sock, request, first: self._one(sock, request, first, peer[0]))
 
@@ -138,7 +141,8 @@
         before = [value for known, value in request.headers if known == b"x-forwarded-for"]
         headers += [(REQUEST_ID, name), (b"x-forwarded-for", b", ".join([*before, peer.encode()]))]
         host = request.get(b"host") or b""
-        told = ((kind.method, method), (kind.uri, request.target), (kind.host, host))
+        told = ((kind.method, method), (kind.uri, request.target), (kind.host, host),
+                (names.REFUSALS if kind.passes is not None else b"", b"as_403"))
         headers += [(known, value) for known, value in told if known]
         if self.fault("headers_joined") is not None:
             joined: dict[bytes, bytes] = {}
