--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	$(PY) benchmarks/ingress.py
 
 proto: .venv/.ready
-	$(PY) -m grpc_tools.protoc -I tamarindfold/identity/proto --python_out=tamarindfold/identity/proto \
-		--pyi_out=tamarindfold/identity/proto tamarindfold/identity/proto/registry.proto
+	for folder in tamarindfold/*/proto; do $(PY) -m grpc_tools.protoc -I $$folder --python_out=$$folder \
+		--pyi_out=$$folder $$folder/*.proto; done
 
 clean:
 	rm -rf out .venv
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -12,8 +12,8 @@
 
 from tamarindfold.interface import (
     Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
-    FleetUpdate, Group, ListKind, Outcome, Plan, PlansChanged, Refuse, RequestArrived, RequestClass,
-    RequestWithdrawn, Send, Settings, UsePassed, Why,
+    FleetUpdate, Group, ListKind, Outcome, Plan, PlansChanged, Refuse, Remembered, RequestArrived,
+    RequestClass, RequestWithdrawn, Restored, Send, Settings, StoodStill, UsePassed, Why,
 )
 
 # ---- tuned constants
@@ -185,11 +185,12 @@
         self.asking, self.retries = ASK_FIRST, RETRY_MOST
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        self.woke_at = -inf  # what was sent before tells nothing of the backends: this gateway stood still
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
             FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, PlansChanged: self.plans_changed,
-            UsePassed: self.passed}
+            UsePassed: self.passed, StoodStill: self.stood_still, Restored: self.restored}
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -205,6 +206,37 @@
         """A customer meets its new plan with its next request."""
         self.settings = replace(self.settings, plans=event.plans)
 
+    # ---- across stalls and restarts
+
+    def stood_still(self, now: float, event: StoodStill) -> None:
+        """Guards against blaming backends for this gateway's own pause."""
+        self.woke_at = now
+
+    def remember(self, customer: int) -> Remembered | None:
+        """What a restart must not forget of a customer: promises given, the ceiling, what units it takes."""
+        if (known := self.customers.get(customer)) is None:
+            return None
+        place = next((i for i, plan in enumerate(self.settings.plans) if plan is known.plan), -1)
+        return Remembered(customer, place, round(1 / known.even), list(known.appointments),
+                          known.end_of_queue_time, known.answers, known.unit_sum, known.unit_squares,
+                          known.cap_tokens, known.filled_at)
+
+    def restored(self, now: float, event: Restored) -> None:
+        """Appointments go on where they ended; the ceiling has what was left of it and what it got since."""
+        self.unit_ms = list(event.unit_ms) if len(event.unit_ms) == len(self.unit_ms) else self.unit_ms
+        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        for old in event.customers:
+            if old.customer in self.customers or not 0 <= old.plan < len(self.settings.plans):
+                continue
+            width = max(1, min(old.width, self.settings.gateways))
+            known = Customer(self.settings.plans[old.plan], width, min(now, old.at_ms), old.customer)
+            known.cap_tokens = old.cap_tokens
+            known.refill(now)
+            known.appointments, known.end_of_queue_time = deque(old.appointments), old.end_of_queue_ms
+            known.answers, known.unit_sum, known.unit_squares = old.answers, old.unit_sum, old.unit_squares
+            known.followed_at = now
+            self.customers[old.customer] = known
+
     # ---- quotas: the ordinary path
 
     def customer(self, now: float, event: RequestArrived | UsePassed) -> Customer:
@@ -383,7 +415,7 @@
         """Expected time of a send to this backend; silence bounds it from below."""
         drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
-        return max(call.work * drag * self.pile(now, backend), now - sent_at - own)
+        return max(call.work * drag * self.pile(now, backend), now - max(sent_at, self.woke_at) - own)
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
@@ -435,7 +467,8 @@
         call = self.calls.get(event.request)
         if backend and known:
             backend.load = max(0.0, backend.load - known[1]) if backend.out else 0.0
-            self.learn(now, backend, event, known)
+            if known[0] >= self.woke_at:
+                self.learn(now, backend, event, known)
         if call is None:
             return
         if event.used_percent is not None:  # the site has a meter: it takes the counter's place
--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -26,7 +26,8 @@
     gateways: Count = 1
     seed: int = 1
     zone: Annotated[int, Meta(ge=0)] = 0
-    state_dir: str = ""  # where the last list of servers is kept; empty: not kept
+    state_dir: str = ""  # where the last list, the registry's word and snapshots are kept; empty: nowhere
+    stall_ms: MsAboveNought = 300  # the loop did not turn for so long: this instance stood still
 
 
 class Listen(Section, frozen=True):
@@ -253,6 +254,15 @@
     source_address: str = ""
 
 
+class RecoveryConfig(Section, frozen=True):
+    """What is kept across a restart, in instance.state_dir; without one nothing is."""
+
+    every_ms: MsAboveNought = 1_000  # after the end of a snapshot the next is begun
+    max_age_ms: Ms = 600_000  # an older snapshot is not taken
+    ahead_ms: Ms = 2_000  # nor one from further in the future than this
+    background_part: Annotated[float, Meta(gt=0, le=1)] = 0.05  # of the time, for all background work
+
+
 class Log(Section, frozen=True):
     """Structured log lines on standard error."""
 
@@ -280,4 +290,5 @@
     counter: CounterConfig | None = None
     safety: Safety = Safety()
     upstream: Upstream = Upstream()
+    recovery: RecoveryConfig = RecoveryConfig()
     log: Log = Log()
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import gevent
+from gevent.event import Event as GeventEvent
 
 from tamarindfold.choice import Gateway
 from tamarindfold.ingress.exchange import (
@@ -14,9 +16,13 @@
 )
 from tamarindfold.interface import (
     AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, TimerFired, Why,
+    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, StoodStill, TimerFired,
+    UsePassed, Why,
 )
 from tamarindfold.limits.open import OpenLimits
+from tamarindfold.recovery.driver import Recorder
+
+SETTLE_S = 0.003  # after a standstill: long enough for all that lies on sockets to be read
 
 
 _KINDS: dict[type[Final], str] = {Served: "served", Refused: "refused", Failed: "failed", Expired: "expired",
@@ -43,20 +49,27 @@
 class Core:
     """Hands events to the module in order and carries out what it answers; never re-entered."""
 
-    def __init__(self, gateway: Gateway, clock: Callable[[], float], log: Callable[..., None]) -> None:
+    def __init__(self, gateway: Gateway, clock: Callable[[], float], log: Callable[..., None],
+                 stall_ms: float = math.inf) -> None:
         self.gateway, self.clock, self.log = gateway, clock, log
         self.sender: Sender | None = None
         self.count: Callable[[Count], None] | None = None
         self.open: dict[int, Exchange] = {}
         self.fleet: dict[int, BackendEntry] = {}
-        self.news: deque[FleetUpdate] = deque()  # goes before everything else of the same turn
+        self.news: deque[FleetUpdate | StoodStill] = deque()  # before everything else of the same turn
         self.events: deque[Event] = deque()
         self.busy = False
+        self.stall_ms, self.turned_at = stall_ms, clock()
+        self.awake = GeventEvent()  # not set in the moments after a standstill
+        self.awake.set()
+        self.recorder: Recorder | None = None
+        self.now = 0.0  # of the event in the module's hands
         self.still_known: Callable[[Any], bool] | None = None  # whether a credential is good still
         self.numbers = 0
         self.limits = OpenLimits(gateway.settings.gateways, gateway.settings.index)
         self.counts = dict.fromkeys(
-            ("arrived", "served", "refused", "failed", "expired", "left", "lapsed", "attempts", "moot"), 0)
+            ("arrived", "served", "refused", "failed", "expired", "left", "lapsed", "attempts", "moot",
+             "stalls"), 0)
 
     # ---- events from the drivers
 
@@ -110,17 +123,54 @@
         """The answer to one counter call."""
         self.post(answer)
 
+    def use_passed(self, customer: int, plan: int, units: float, width: int) -> None:
+        """A proxy let through what was not permitted."""
+        if self.recorder is not None and self.gateway.settings.plans[plan].ceiling_rate:
+            self.recorder.spent(customer, plan, width, units)
+        self.post(UsePassed(customer, plan, units, width))
+
     def post(self, event: Event) -> None:
         """Hand one event to the module, now or as soon as it is done with the one in hand."""
+        self.turned(False)
         self.events.append(event)
         self._pump()
 
+    # ---- standing still
+
+    def turned(self, beat: bool = True) -> None:
+        """The loop turns; called by a beat, and before anything is decided, whichever comes first.
+
+        After a standstill the answers, time-outs and requests of all that time lie there at once, and among
+        them perhaps the news that a server is to be left alone: for a moment only news are taken in.
+        """
+        now = self.clock()
+        gone = now - self.turned_at
+        if gone > self.stall_ms and self.awake.is_set():
+            self.awake.clear()
+            self.counts["stalls"] += 1
+            self.log("instance.stood_still", for_ms=round(gone), open=len(self.open))
+            self.news.append(StoodStill(gone))
+            gevent.spawn(self._wake)
+        if beat or gone > self.stall_ms:
+            self.turned_at = now
+
+    def _wake(self) -> None:
+        gevent.sleep(SETTLE_S)
+        self.awake.set()
+        self._pump()
+
     # ---- what an attempt may do
 
     def hindrance(self, exchange: Exchange, entry: BackendEntry | None) -> str:
-        """Why the first byte of an attempt may not be written; empty where it may."""
+        """Why the first byte of an attempt may not be written; empty where it may. Waits out the moment
+        after a standstill."""
+        self.turned(False)
+        if not self.awake.is_set():
+            self.awake.wait()
         if exchange.final is not None:
             return "over"
+        if self.clock() >= exchange.give_up_ms:
+            return "too late"
         if entry is None:
             return "gone"
         now_listed = self.fleet.get(entry.backend)
@@ -143,12 +193,15 @@
             return
         self.busy = True
         try:
-            while self.news or self.events:
+            while self.news or (self.events and self.awake.is_set()):
                 event: Event = self.news.popleft() if self.news else self.events.popleft()
-                for action in self.gateway.handle(self.clock(), event):
+                self.now = self.clock()
+                for action in self.gateway.handle(self.now, event):
                     self._carry_out(action)
         finally:
             self.busy = False
+            if self.recorder is not None:
+                self.recorder.flush()  # before any greenlet can write what was decided
 
     def _carry_out(self, action: Any) -> None:
         match action:
@@ -159,10 +212,16 @@
                     return
                 attempt, exchange.attempts = exchange.attempts, exchange.attempts + 1
                 self.counts["attempts"] += 1
+                if (self.recorder is not None and not attempt
+                        and self.gateway.settings.plans[exchange.plan].ceiling_rate):
+                    self.recorder.spent(exchange.customer, exchange.plan, exchange.width, exchange.units)
                 assert self.sender is not None
                 self.sender.start(exchange, attempt, self.fleet.get(backend), backend, timeout_ms)
             case Refuse(request, retry_after_ms, why):
                 if (exchange := self.open.get(request)) is not None:
+                    if self.recorder is not None:
+                        self.recorder.refused(exchange.customer, exchange.plan, exchange.width,
+                                              self.now + retry_after_ms)
                     self._finish(exchange, Refused(retry_after_ms, why))
             case Fail(request):
                 if (exchange := self.open.get(request)) is not None:
--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -32,7 +32,7 @@
 from tamarindfold.ingress.front import ClientConnection, Front, Pressed
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.ingress.upstream import Attempt
-from tamarindfold.interface import Outcome, UsePassed, Why
+from tamarindfold.interface import Outcome, Why
 
 REPORT = b"/report"
 _TOLD = {Told.UNKNOWN: 404, Told.ELSEWHERE: 421}  # RFC 9110 section 15.5.20: the request is misdirected
@@ -96,7 +96,7 @@
 
     def passed(self, owed: Owed) -> None:
         """The proxy let through what was not permitted: it was used, so it is counted."""
-        self.core.post(UsePassed(owed.customer, owed.plan, owed.units, self.width))
+        self.core.use_passed(owed.customer, owed.plan, owed.units, self.width)
 
     def lapse(self, name: str, until_ms: float) -> None:
         """Nothing was reported in time."""
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +19,7 @@
 from tamarindfold.identity.files import pepper, public_key
 from tamarindfold.identity.model import PlanRow
 from tamarindfold.ingress.admin import Admin
+from tamarindfold.ingress.background import Background
 from tamarindfold.ingress.clock import SteadyClock
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.door import Door
@@ -31,9 +32,11 @@
 from tamarindfold.introspection.checker import Rules
 from tamarindfold.introspection.driver import Introspector
 from tamarindfold.membership.driver import FeedFollower
+from tamarindfold.recovery.driver import Recorder
 
 SLEW_EVERY_S = 1.0
 FEEL_MS = 25.0
+TIDY_EVERY_MS = 1_000.0
 
 
 def checker_rules(section: Introspection) -> Rules:
@@ -50,7 +53,8 @@
         self.steady = SteadyClock()
         clock = self.steady.now
         up, look = config.upstream, config.introspection
-        self.core = Core(make(derive.settings(config), config.instance.seed), clock, log)
+        self.core = Core(make(derive.settings(config), config.instance.seed), clock, log,
+                         config.instance.stall_ms)
         self.pool = Pool(up.idle_ms, up.idle_per_server, up.connections_per_server, up.connect_timeout_ms,
                          up.source_address, config.limits.answer_bytes, clock)
         fields = self.core.gateway.settings.report_fields
@@ -72,6 +76,8 @@
         self.feed: FeedFollower | None = None
         self.listener: StreamServer | None = None
         self.chores: list[gevent.Greenlet] = []
+        self.background = Background(config.recovery.background_part, log)
+        self.recorder = self._recorder(config, clock) if config.instance.state_dir else None
 
     def _identity(self, config: GatewayConfig, clock: Callable[[], float]) -> Identity:
         """The follower of the registry; ValueError or OSError where its files can't be used."""
@@ -85,10 +91,25 @@
         self.core.still_known = made.still
         return made
 
+    def _recorder(self, config: GatewayConfig, clock: Callable[[], float]) -> Recorder:
+        section = config.recovery
+        return Recorder(Path(config.instance.state_dir), config.instance.index, self.core.gateway,
+                        section.max_age_ms, section.ahead_ms, clock, self.log)
+
+    def _restore(self) -> None:
+        """Once the plans are known, and before the first request: what an earlier life left."""
+        if self.recorder is None or self.core.recorder is not None:
+            return
+        if (restored := self.recorder.load()) is not None:
+            self.core.post(restored)
+        self.core.recorder = self.recorder
+        self.background.add("snapshot", self.recorder.snapshot, self.config.recovery.every_ms, priority=1)
+
     def _plans_came(self, rows: list[PlanRow]) -> None:
         """The registry's plans, for the module: each version has a place and a name of its own."""
         self.core.post(PlansChanged(tuple(
             derive.plan(row.figures, f"{row.plan}@{row.version}", place) for place, row in enumerate(rows))))
+        self._restore()
 
     def _state_file(self, what: str, kind: str) -> Path | None:
         instance = self.config.instance
@@ -112,6 +133,8 @@
             self.feed.start()
         if self.identity is not None:
             self.identity.start()
+        else:
+            self._restore()
         listen, served = config.listen, []
         if "proxy" in derive.fronts(config):
             self.listener = StreamServer((listen.host, listen.port), self.front.serve, backlog=listen.backlog,
@@ -128,7 +151,10 @@
         if self.admin is not None:
             self.admin.start()
             self.log("admin.listening", host=self.admin.host, port=self.admin.port)
-        self.chores = [gevent.spawn(chore) for chore in (self._keep_time, self._tell_counts, self._feel)]
+        self.chores = [gevent.spawn(chore) for chore in (self._keep_time, self._feel)]
+        self.background.add("tidy", self._tidy, TIDY_EVERY_MS)
+        self.background.add("counts", self._tell_counts, config.log.counts_every_ms)
+        self.background.start()
         self.log("ingress.listening", host=served[0][0], port=served[0][1])
         return served[0]
 
@@ -147,8 +173,12 @@
         done = not self.held
         if self.admin is not None:
             self.admin.stop()
-        self._log_counts("ingress.stopped")
+        self.background.stop()
         gevent.killall(self.chores)
+        if self.recorder is not None and self.core.recorder is not None:
+            self.recorder.close()
+            self.core.recorder = None
+        self._log_counts("ingress.stopped")
         self.timers.stop()
         if self.feed is not None:
             self.feed.stop()
@@ -180,8 +210,11 @@
         while True:
             gevent.sleep(SLEW_EVERY_S)
             self.steady.slew()
-            self.pool.tidy(self.core.fleet.__contains__)
-            self.core.limits.sweep(self.steady.now())
+
+    def _tidy(self) -> Iterator[float | None]:
+        self.pool.tidy(self.core.fleet.__contains__)
+        yield None
+        self.core.limits.sweep(self.steady.now())
 
     def _feel(self) -> None:
         """How late this process runs what is due, for those who must not wait unseen, and that it turns."""
@@ -189,13 +222,12 @@
             due = self.steady.now() + FEEL_MS
             gevent.sleep(FEEL_MS / 1000)
             self.turned_at = time.monotonic()
+            self.core.turned()
             if self.forward is not None:
                 self.forward.gate.felt(self.steady.now() - due)
 
     def _tell_counts(self) -> None:
-        while True:
-            gevent.sleep(self.config.log.counts_every_ms / 1000)
-            self._log_counts("ingress.counts")
+        self._log_counts("ingress.counts")
 
     def _log_counts(self, event: str) -> None:
         self.log(event, **self.counts())
@@ -211,4 +243,6 @@
         return {"identity": identity, "forward": forward, "held": self.held, "requests": self.core.counts,
                 "front": self.front.counts, "tokens": self.introspector.checker.counts,
                 "connections": self.pool.counts, "counter": counter,
+                "recovery": self.recorder.counts if self.recorder is not None else {},
+                "background": self.background.counts(),
                 "open_limits": {"refused": self.core.limits.refused, "expired": self.core.limits.expired}}
--- a/tamarindfold/ingress/timers.py
+++ b/tamarindfold/ingress/timers.py
@@ -10,6 +10,9 @@
 from tamarindfold.ds.wheel import Timer, TimerWheel
 
 
+STILL_MS = 300.0  # a turn this late: the process stood still
+
+
 class Timers:
     """Calls back when a time has come; the calls must not block."""
 
@@ -17,6 +20,7 @@
         self.clock = clock
         self.wheel = TimerWheel(clock())
         self.some = Event()
+        self.turned_at = clock()
         self._greenlet = gevent.spawn(self._turn)
 
     def at(self, due_ms: float, call: Callable[[], None]) -> Timer:
@@ -40,6 +44,10 @@
             if not self.wheel.count:
                 self.some.clear()
                 self.some.wait()
+                self.turned_at = self.clock()
             gevent.sleep(pause)
+            if self.clock() - self.turned_at > STILL_MS:
+                gevent.sleep(pause)  # after a standstill: what came meanwhile is read first, then it is late
+            self.turned_at = self.clock()
             for timer in self.wheel.advance(self.clock()):
                 timer.call()
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -293,8 +293,39 @@
     width: int
 
 
+@dataclass(slots=True)
+class StoodStill:
+    """This gateway did not run until now: what it sent before is late through no fault of the backends."""
+
+    for_ms: float
+
+
+@dataclass(slots=True)
+class Remembered:
+    """What is worth keeping of one customer across a restart; times as handed to `handle`."""
+
+    customer: int
+    plan: int  # its place in the settings
+    width: int
+    appointments: list[float]
+    end_of_queue_ms: float
+    answers: int = 0
+    unit_sum: float = 0.0
+    unit_squares: float = 0.0
+    cap_tokens: float = 0.0  # of the ceiling, at `at_ms`
+    at_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Restored:
+    """What an earlier life of this gateway had promised, spent and learnt; before its first request."""
+
+    customers: list[Remembered]
+    unit_ms: list[float]  # by class; empty: not known
+
+
 Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged | UsePassed)
+         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged | UsePassed | StoodStill | Restored)
 
 
 # ---- actions
--- /dev/null
+++ b/tamarindfold/recovery/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from registry.proto by `make proto`."""
