--- /dev/null
+++ b/tamarindfold/rehearsal/page.py
@@ -0,0 +1,130 @@
+"""A run as one HTML page that needs nothing else: verdicts, figures, and what happened when."""
+
+from __future__ import annotations
+
+import io
+from collections import Counter
+from collections.abc import Sequence
+from html import escape
+from typing import Any
+
+import msgspec
+
+from tamarindfold.rehearsal.evidence import Evidence
+
+BIN_MS = 500.0
+STYLE = """body{font:15px/1.45 sans-serif;max-width:70em;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:.25em .6em;text-align:left}
+.pass{color:#176b2c}.FAIL{color:#b00020;font-weight:bold}svg{width:100%;height:auto}pre{overflow:auto}"""
+
+
+def series(times: Sequence[tuple[float, str]], began: float, until: float) -> dict[str, list[float]]:
+    """Occurrences a second by kind, in bins of BIN_MS."""
+    bins = max(1, int((until - began) / BIN_MS) + 1)
+    out: dict[str, list[float]] = {}
+    for at, kind in times:
+        if began <= at <= until:
+            out.setdefault(kind, [0.0] * bins)[int((at - began) / BIN_MS)] += 1000 / BIN_MS
+    return dict(sorted(out.items()))
+
+
+def plots(evidence: Evidence) -> str:
+    """Goodput by plan, refusals by status, work by server, with the day's events, as one SVG."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    tries = evidence.tries.values()
+    began = min((known.sent["t"] for known in tries), default=0.0)
+    until = max((known.sent["t"] for known in tries), default=began + 1)
+    served, refused = [], []
+    for known in tries:
+        for answer in known.answers[:1]:
+            if answer["outcome"] == "served":
+                served.append((answer["t"], str(known.sent["plan"])))
+            else:
+                refused.append((answer["t"], f"{answer['outcome'] or 'proxy'} {answer['status']}"))
+    work = [(receipt.at, receipt.server) for known in tries for receipt in known.receipts]
+    figure, axes = pyplot.subplots(3, 1, figsize=(11, 8), sharex=True, layout="constrained")
+    kinds = (("served a second, by plan", served), ("not served a second", refused),
+             ("requests a second, by server", work))
+    for axis, (title, times) in zip(axes, kinds, strict=True):
+        for kind, values in series(times, began, until).items():
+            axis.plot([i * BIN_MS / 1000 for i in range(len(values))], values, label=kind, linewidth=1)
+        for event in (e for e in evidence.run if e["what"] == "event"):
+            axis.axvline((event["t"] - began) / 1000, color="#999", linewidth=0.6, linestyle=":")
+        axis.set_title(title, fontsize=10, loc="left")
+        if axis.get_legend_handles_labels()[0]:
+            axis.legend(fontsize=7, ncols=4, loc="upper right")
+    axes[-1].set_xlabel("seconds")
+    out = io.StringIO()
+    figure.savefig(out, format="svg")
+    pyplot.close(figure)
+    svg = out.getvalue()
+    return svg[svg.index("<svg"):]
+
+
+def _table(head: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    cells = "".join(f"<th>{escape(word)}</th>" for word in head)
+    body = "".join("<tr>" + "".join(f"<td>{escape(str(cell))}</td>" for cell in row) + "</tr>"
+                   for row in rows)
+    return f"<table><tr>{cells}</tr>{body}</table>"
+
+
+def make(report: dict[str, Any], evidence: Evidence) -> str:
+    """The page."""
+    began = min((known.sent["t"] for known in evidence.tries.values()), default=0.0)
+    rules = "".join(
+        f"<tr><td class={'pass' if r['passed'] else 'FAIL'}>{'pass' if r['passed'] else 'FAIL'}</td>"
+        f"<td>{escape(r['rule'])}</td><td>{r['breaches']}</td><td>{r['looked_at']}</td>"
+        f"<td>{escape(str(r['first'] or ''))}</td></tr>" for r in report["rules"] + report["checks"])
+    events = [(f"{(e['t'] - began) / 1000:.1f} s", e["do"], e["target"])
+              for e in evidence.run if e["what"] == "event"]
+    statuses = Counter(str(known.answers[0]["status"]) if known.answers else "none"
+                       for known in evidence.tries.values())
+    latency = [(cls, *(f"{value:.1f}" for value in figures.values()))
+               for cls, figures in report["latency"].items()]
+    verdict = "passed" if report["passed"] else "FAILED"
+    return "".join((
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{escape(report['day'])}: {verdict}</title>",
+        f"<style>{STYLE}</style><h1>{escape(report['day'])}: ",
+        f"<span class={'pass' if report['passed'] else 'FAIL'}>{verdict}</span></h1>",
+        f"<p>Seed {report['seed']}; {100 * report['calls_served']:.1f}% of requests served.</p>",
+        "<table><tr><th></th><th>rule</th><th>broken</th><th>looked at</th><th>first</th></tr>", rules,
+        "</table>",
+        plots(evidence), "<h2>Tries</h2>", _table(("status", "tries"), sorted(statuses.items())),
+        "<h2>Latency of served tries, ms</h2>", _table(("class", "p50", "p99", "p99.9"), latency),
+        "<h2>Events</h2>", _table(("at", "what", "target"), events),
+        "<h2>Figures</h2><pre>", escape(msgspec.json.format(msgspec.json.encode(report), indent=2).decode()),
+        "</pre></html>"))
+
+
+def figures(report: dict[str, Any], under: str = "") -> dict[str, float]:
+    """All numbers of a report by their path."""
+    out: dict[str, float] = {}
+    for name, value in report.items():
+        if isinstance(value, bool | int | float):
+            out[under + name] = float(value)
+        elif isinstance(value, dict) and name != "first":
+            out |= figures(value, f"{under}{name}.")
+        elif isinstance(value, list):
+            for entry in value:
+                if isinstance(entry, dict) and "rule" in entry:
+                    told = {key: value for key, value in entry.items() if key != "first"}
+                    out |= figures(told, f"{under}{entry['rule']}.")
+    return out
+
+
+def compare(a: dict[str, Any], b: dict[str, Any]) -> list[str]:
+    """Lines: what differs between two reports, the first's value, the second's, and their ratio."""
+    left, right = figures(a), figures(b)
+    out = []
+    for name in sorted(left.keys() | right.keys()):
+        one, two = left.get(name), right.get(name)
+        if one == two:
+            continue
+        ratio = f"{two / one:.3f}" if one and two is not None else "-"
+        first, second = ("-" if value is None else f"{value:g}" for value in (one, two))
+        out.append(f"{name:<44} {first:>12} {second:>12} {ratio:>8}")
+    return out
--- a/tamarindfold/rehearsal/run.py
+++ b/tamarindfold/rehearsal/run.py
@@ -9,7 +9,7 @@
 import gevent
 import msgspec
 
-from tamarindfold.rehearsal import report
+from tamarindfold.rehearsal import page, report
 from tamarindfold.rehearsal.day import Day, Event
 from tamarindfold.rehearsal.evidence import collect
 from tamarindfold.rehearsal.fleet import RunningFleet
@@ -60,4 +60,5 @@
         raise ValueError("the run did not come to its end")
     made = report.make(day, evidence, judge(day, evidence), end["exits"], end["not_sent"])
     (out / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(made), indent=2))
+    (out / "report.html").write_text(page.make(made, evidence), encoding="utf-8")
     return made
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -14,6 +14,7 @@
 from tamarindfold.config.load import convert
 from tamarindfold.interface import Fail, FleetUpdate, ListKind, Refuse, Send
 from tamarindfold.membership.feed import ServerLine
+from tamarindfold.rehearsal import page, report
 from tamarindfold.rehearsal.day import Day
 from tamarindfold.rehearsal.evidence import join
 from tamarindfold.rehearsal.judge import Verdict, judge
@@ -238,3 +239,24 @@
     run = [{"t": 50.0, "what": "instance_stalls", "index": 0}, {"t": resumes, "what": "instance_resumes", "index": 0}]
     found = judge(day(1), join(day(1), clients, [[]], [], run))
     assert found[0].rule == "no request lost" and found[0].breaches == breaches
+
+
+def test_a_run_as_a_page_and_two_runs_side_by_side(rig, tmp_path, monkeypatch) -> None:
+    evidence, before = [], judge
+
+    def keep(*args):
+        evidence.append(args[1])
+        return before(*args)
+
+    monkeypatch.setitem(globals(), "judge", keep)
+    found = list(verdicts(rig(plans=CAPPED), tmp_path, calls=6).values())
+    found[2].breach(1.0, request="<b>")
+    made = report.make(day(2), evidence[0], found, {"gateway-0": 0}, 0)
+    text = page.make(made, evidence[0])
+    assert text.count("<svg") == 1 and "&lt;b&gt;" in text and "<b>" not in text and "class=FAIL" in text
+    assert "http://" not in text.replace("http://www.w3.org", "").replace("http://purl.org", "").replace(
+        "http://creativecommons.org", "")  # it fetches nothing
+    other = made | {"calls_served": 0.5}
+    assert not page.compare(made, made)
+    (line,) = page.compare(made, other)
+    assert line.split()[0] == "calls_served" and line.split()[2:] == ["0.5", "0.500"]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -157,6 +157,8 @@
     (["check", "no-such.yaml"], "No such file"), (["serve", "README.md"], "README.md"),
     (["rehearse", "examples/gateway.yaml"], "examples/gateway.yaml"), (["standin", "weather"], "weather"),
     (["judge", "examples/bad-day.yaml", "no-such-folder"], "no-such-folder"), (["standin", "proxy", "--config", "README.md"], "README"), (["fly"], "fly"),
+    (["rehearse"], "--all"), (["rehearse", "--all", "docs"], "no days"), (["compare", "docs", "docs"], "report.json"),
+    (["rehearse", "--all", "examples/days", "--within", "5"], "over 5"), (["fleet", "up", "no.yaml"], "no.yaml"),
 ])
 def test_bad_input_ends_with_one_line_and_exit_2(words, text) -> None:
     done = command(*words)
