The lifeline's name stands in one place

Cause: the supervisor and the programs it starts each spelled the variable that carries the pipe. Change: the programs take the supervisor's constant. Behaviour as before. Measured: lint, types and the tests of supervisor and command pass.

--- a/tamarindfold/cli/lifeline.py
+++ b/tamarindfold/cli/lifeline.py
@@ -8,10 +8,12 @@
 from gevent.event import Event
 from gevent.socket import wait_read
 
+from tamarindfold.supervisor.driver import LIFELINE
+
 
 def watch(stop: Event) -> None:
     """Set `stop` when the other end of the inherited pipe closes; nothing where there is none."""
-    text = os.environ.get("TAMARINDFOLD_LIFELINE", "")
+    text = os.environ.get(LIFELINE, "")
     if text.isdecimal():
         gevent.spawn(_until_closed, int(text), stop)
 
