The test of a decision's time no longer depends on the token check's

Cause: on a busy machine the token look-up took the 60 ms, and the refusal was of another kind. Change: the token is known before the time is cut. Measured: the test passes.

--- a/tests/test_proxies.py
+++ b/tests/test_proxies.py
@@ -329,8 +329,11 @@
 
 
 def test_a_decision_takes_no_longer_than_was_stated(proxied) -> None:
-    p = proxied(forward={"decide_ms": 60})
-    core = p.r.ingress.core
+    p = proxied()
+    assert p.ask().status == 200  # the token is known now, however slow the machine is
+    core, front = p.r.ingress.core, p.r.ingress.forward
+    wait_for(lambda: not core.open)
+    front.section = msgspec.structs.replace(front.section, decide_ms=60)
     core.gateway.handle = lambda now, event: []
     answer = p.ask()
     assert (answer.status, answer.outcome) == (503, "refused")
