--- a/benchmarks/ingress.py
+++ b/benchmarks/ingress.py
@@ -26,7 +26,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from tamarindfold.config.derive import backend_id, split_address
+from tamarindfold.config.addresses import split_address
+from tamarindfold.config.derive import backend_id
 from tamarindfold.http1 import write
 from tamarindfold.http1.requests import RequestReader
 from tamarindfold.http1.responses import ResponseReader
--- a/tamarindfold/bench/wire.py
+++ b/tamarindfold/bench/wire.py
@@ -1,4 +1,4 @@
-"""The simulator's binary wire: frames, records and the settings text."""
+"""The simulator's binary wire: frames and records."""
 
 from __future__ import annotations
 
@@ -7,10 +7,11 @@
 from struct import Struct
 from typing import Any
 
+from tamarindfold.bench.settings import SettingsError, parse_settings
 from tamarindfold.interface import (
-    Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
-    Event, Fail, FleetUpdate, Group, ListKind, Log, Outcome, PeerMessage, Plan, Probe, ProbeEnded, Refuse,
-    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
+    Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Event, Fail,
+    FleetUpdate, ListKind, Log, Outcome, PeerMessage, Probe, ProbeEnded, Refuse, RequestArrived,
+    RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
 )
 
 
@@ -175,6 +176,8 @@
         return seed, parse_settings(text.decode())
     except UnicodeDecodeError:
         raise WireError("PROVISION settings: not UTF-8 text") from None
+    except SettingsError as error:
+        raise WireError(str(error)) from None
 
 
 def write_action(instance: int, action: Action) -> bytes:
@@ -205,82 +208,3 @@
     """A log line or a fault as a record."""
     data = text.encode()[:60_000]
     return _OUT_TEXT.pack(code, 6 + len(data), instance, len(data)) + data
-
-
-# ---- settings
-
-_EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
-
-
-class _Reader:
-    """Typed look-ups in the settings text; missing or malformed values are named."""
-
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for number, line in enumerate(text.splitlines(), 1):
-            key, equals, value = line.partition("=")
-            if not equals:
-                raise WireError(f"settings line {number}: no '=' in {line[:40]!r}")
-            self.values[key] = value
-
-    def text(self, key: str, default: str | None = None) -> str:
-        value = self.values.get(key, default)
-        if value is None:
-            raise WireError(f"settings: {key} is missing")
-        return value
-
-    def number(self, key: str, default: float | None = None) -> float:
-        value = self.text(key, None if default is None else str(default))
-        try:
-            return float(value)
-        except ValueError:
-            raise WireError(f"settings: {key}: {value!r} is not a number") from None
-
-    def whole(self, key: str, default: int | None = None) -> int:
-        value = self.number(key, default)
-        if not value.is_integer():
-            raise WireError(f"settings: {key}: {value!r} is not a whole number")
-        return int(value)
-
-    def truth(self, key: str) -> bool:
-        value = self.text(key, "false")
-        if value not in ("true", "false"):
-            raise WireError(f"settings: {key}: {value!r} is neither true nor false")
-        return value == "true"
-
-    def items(self, key: str) -> list[str]:
-        return [f"{key}.{i}." for i in range(self.whole(f"{key}.count"))]
-
-
-def parse_settings(text: str) -> Settings:
-    """Read the settings text; unknown keys are ignored."""
-    r = _Reader(text)
-    classes = []
-    for c in r.items("categories"):
-        effect = r.text(c + "idempotency")
-        if effect not in _EFFECTS:
-            raise WireError(f"settings: {c}idempotency: {effect!r} is unknown")
-        classes.append(RequestClass(
-            r.number(c + "aim"), r.number(c + "hard_limit"), r.number(c + "points"), _EFFECTS[effect],
-            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"),
-            r.number(c + "dedup_window", 0), r.number(c + "late_worth", 0), r.text(c + "name", "")))
-    plans = [Plan(r.number(p + "per_second"), r.number(p + "peak_units"), r.whole(p + "at_once", 0),
-                  r.number(p + "price", 1), r.number(p + "over_worth", 0), r.number(p + "excess_cost", 0),
-                  r.number(p + "cap_rate", 0), r.number(p + "ceiling_burst", 0), r.number(p + "tolerance", 0),
-                  r.text(p + "name", "")) for p in r.items("plans")]
-    reported = r.text("telemetry.via", "off") != "off" and r.text("telemetry.fields", "")
-    return Settings(
-        gateways=r.whole("balancers"), index=r.whole("index"), classes=tuple(classes), plans=tuple(plans),
-        max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
-        cold_ms=r.number("safety.cold"), fall_multiple=r.number("safety.fall_multiple"),
-        overload_ms=r.number("safety.overload_for"), drain_grace_ms=r.number("safety.stop_sending_within"),
-        answer_grace_ms=r.number("safety.grace_to_answer", 0), zone=r.whole("locality", 0),
-        tick_ms=r.number("quantum", 1), most_units=r.number("extra.units_top", 1),
-        marks_retry=r.truth("clients.marks_retry"), retry_after=r.truth("permissions.retry_after"),
-        max_retry_after_ms=r.number("permissions.max_retry_after", 0),
-        second_copies=r.truth("permissions.parallel_tries"), cancel=r.truth("permissions.cancel"),
-        probes=r.truth("permissions.probes"), peers=r.truth("permissions.may_tell"),
-        peer_in_per_s=r.number("extra.peer_intake", 0), counter=r.truth("extra.has_counter"),
-        counter_timeout_ms=r.number("extra.count_wait", 0), counter_price=r.number("extra.counter_price", 0),
-        meter_ms=r.number("extra.meter", 0), settled_after=r.truth("extra.cost_after"),
-        report_fields=tuple(reported.split(",")) if reported else ())
--- a/tamarindfold/config/derive.py
+++ b/tamarindfold/config/derive.py
@@ -3,25 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import fields
-from ipaddress import AddressValueError, IPv4Address, ip_network
+from ipaddress import IPv4Address, ip_network
 from typing import Any
 
+from tamarindfold.config.addresses import split_address
 from tamarindfold.config.model import GatewayConfig
 from tamarindfold.interface import BackendEntry, Effect, Group, Plan, RequestClass, Settings
 
 
-def split_address(text: str, what: str) -> tuple[str, int]:
-    """An IPv4 address and port; ValueError names what is wrong."""
-    host, colon, port = text.rpartition(":")
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        raise ValueError(f"{what}: {text!r} is not an IPv4 address with a port") from None
-    if not colon or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{what}: {text!r} has no port from 1 to 65535")
-    return host, int(port)
-
-
 def backend_id(host: str, port: int) -> int:
     """The module's number of a server: its address and port."""
     return int(IPv4Address(host)) << 16 | port
--- a/tamarindfold/counter/driver.py
+++ b/tamarindfold/counter/driver.py
@@ -10,10 +10,12 @@
 from gevent import socket
 from gevent.event import Event
 
-from tamarindfold.counter.pipeline import Pipeline, part_of
+from tamarindfold.counter.pipeline import Dialect, Pipeline, part_of
+from tamarindfold.ds.backoff import Backoff
 from tamarindfold.interface import Count, CountAnswered
 
 CONNECT_S = 1.0
+MOST_PAUSE_S = 1.0  # between two tries to connect
 
 
 class _Part:
@@ -21,54 +23,87 @@
 
     def __init__(self, address: tuple[str, int], pipeline: Pipeline, reconnect_ms: float,
                  clock: Callable[[], float], tell: Callable[[CountAnswered], None],
-                 log: Callable[..., None]) -> None:
-        self.address, self.pipeline, self.reconnect_s = address, pipeline, reconnect_ms / 1000
-        self.label = f"{address[0]}:{address[1]}"
+                 log: Callable[..., None], keep_ms: float) -> None:
+        self.address, self.pipeline = address, pipeline
+        self.backoff = Backoff(reconnect_ms / 1000, MOST_PAUSE_S)
+        self.hurry, self.written_at, self.keep_s = Event(), 0.0, keep_ms / 1000
         self.clock, self.tell, self.log = clock, tell, log
         self.sock: socket.socket | None = None
         self.out: list[bytes] = []
         self.to_write, self.to_watch = Event(), Event()
-        self.greenlets = [gevent.spawn(f) for f in (self._read, self._write, self._watch)]
+        chores = (self._read, self._write, self._watch, *([self._keep] if keep_ms else []))
+        self.greenlets = [gevent.spawn(f) for f in chores]
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go to another address at once; what was out may have been added."""
+        if address == self.address:
+            return
+        self.address = address
+        self.hurry.set()
+        if self.sock is not None:
+            with suppress(OSError):  # closed already
+                self.sock.shutdown(socket.SHUT_RDWR)
 
     def call(self, count: Count) -> None:
         made = self.pipeline.call(self.clock(), count)
         if isinstance(made, CountAnswered):
             self.tell(made)
             return
-        self.out.append(made)
-        self.to_write.set()
+        self._send(made)
         self.to_watch.set()
 
+    def _send(self, data: bytes) -> None:
+        self.out.append(data)
+        self.written_at = self.clock()
+        self.to_write.set()
+
     def _lost(self, reason: str) -> None:
         sock, self.sock = self.sock, None
         if sock is not None:
             sock.close()
-            self.log("counter.lost", part=self.label, reason=reason)
+            self.log("counter.lost", part=self.address, reason=reason)
         self.out.clear()
         for answer in self.pipeline.lost(self.clock()):
             self.tell(answer)
 
     def _read(self) -> None:
         while True:
+            self.hurry.clear()
             reason = "closed"
             try:
-                sock = socket.create_connection(self.address, timeout=CONNECT_S)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.settimeout(None)
-                reader = hiredis.Reader()
-                self.sock, self.pipeline.connected = sock, True
-                self.log("counter.connected", part=self.label)
-                while data := sock.recv(65536):
-                    reader.feed(data)
-                    values = []
-                    while (value := reader.gets()) is not False:
-                        values.append(value)
-                    for answer in self.pipeline.replies(self.clock(), values):
-                        self.tell(answer)
+                self._follow()
             except (OSError, ValueError, hiredis.ProtocolError) as error:
                 reason = str(error)
             self._lost(reason)
-            gevent.sleep(self.reconnect_s)
+            self.hurry.wait(self.backoff.failed())
+
+    def _follow(self) -> None:
+        """Connect, and hand on replies until the connection ends."""
+        address = self.address
+        sock = socket.create_connection(address, timeout=CONNECT_S)
+        if address != self.address:  # moved meanwhile
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+        reader = hiredis.Reader()
+        self.sock, self.pipeline.connected, self.written_at = sock, True, self.clock()
+        self.log("counter.connected", part=address)
+        while data := sock.recv(65536):
+            reader.feed(data)
+            while (value := reader.gets()) is not False:
+                for answer in self.pipeline.replies(self.clock(), (value,)):
+                    self.tell(answer)
+                if self.pipeline.spoilt:
+                    raise ValueError("a reply that makes no sense")
+            self.backoff.well()
+
+    def _keep(self) -> None:
+        """Guards against idle closes, which the next call would pay for."""
+        while True:
+            gevent.sleep(self.keep_s / 2)
+            if self.sock is not None and self.clock() - self.written_at >= self.keep_s * 1000:
+                self._send(self.pipeline.ping(self.clock()))
 
     def _write(self) -> None:
         while True:
@@ -97,12 +132,19 @@
 class Counter:
     """All parts of the shared counter."""
 
-    def __init__(self, addresses: list[tuple[str, int]], timeout_ms: float, most_pending: int, prefix: str,
-                 reconnect_ms: float, clock: Callable[[], float], tell: Callable[[CountAnswered], None],
-                 log: Callable[..., None]) -> None:
+    def __init__(self, addresses: list[tuple[str, int]], timeout_ms: float, most_pending: int,
+                 dialect: Dialect, reconnect_ms: float, clock: Callable[[], float],
+                 tell: Callable[[CountAnswered], None], log: Callable[..., None],
+                 keep_ms: float = 0.0) -> None:
+        """keep_ms: a connection idle so long is used, so that it stays open; 0: it is left alone."""
         self.parts = [
-            _Part(address, Pipeline(timeout_ms, most_pending, prefix), reconnect_ms, clock, tell, log)
-            for address in addresses]
+            _Part(address, Pipeline(timeout_ms, most_pending, dialect), reconnect_ms, clock, tell, log,
+                  keep_ms) for address in addresses]
+
+    def move(self, addresses: list[tuple[str, int]]) -> None:
+        """The same parts are reached elsewhere from now on."""
+        for part, address in zip(self.parts, addresses, strict=True):
+            part.move(address)
 
     def call(self, count: Count) -> None:
         """Make one call; its one answer is told later, or at once where it can't be made."""
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -20,7 +20,6 @@
     UsePassed, Why,
 )
 from tamarindfold.limits.open import OpenLimits
-from tamarindfold.recovery.driver import Recorder
 
 SETTLE_S = 0.003  # after a standstill: long enough for all that lies on sockets to be read
 
@@ -46,6 +45,19 @@
         """Carry out an attempt that was started, in the greenlet that calls."""
 
 
+class Memory(Protocol):
+    """What keeps promises and spending across a restart."""
+
+    def spent(self, customer: int, plan: int, width: int, units: float) -> None:
+        """A ceiling was drawn from."""
+
+    def refused(self, customer: int, plan: int, width: int, back_at_ms: float) -> None:
+        """A client was told when to come back."""
+
+    def flush(self) -> None:
+        """Write what was noted."""
+
+
 class Core:
     """Hands events to the module in order and carries out what it answers; never re-entered."""
 
@@ -62,7 +74,7 @@
         self.stall_ms, self.turned_at = stall_ms, clock()
         self.awake = GeventEvent()  # not set in the moments after a standstill
         self.awake.set()
-        self.recorder: Recorder | None = None
+        self.recorder: Memory | None = None
         self.now = 0.0  # of the event in the module's hands
         self.still_known: Callable[[Any], bool] | None = None  # whether a credential is good still
         self.numbers = 0
@@ -87,7 +99,7 @@
                 return
         self.post(RequestArrived(
             exchange.number, exchange.customer, exchange.plan, exchange.cls, exchange.units,
-            exchange.customer % gateways, exchange.width,
+            exchange.customer % gateways if exchange.first is None else exchange.first, exchange.width,
             max(0.0, exchange.give_up_ms - self.clock()), exchange.retry))
 
     def withdraw(self, exchange: Exchange, final: Final) -> None:
--- a/tamarindfold/ingress/exchange.py
+++ b/tamarindfold/ingress/exchange.py
@@ -74,6 +74,7 @@
     body: bytes
     token_until_ms: float = math.inf
     known: Any = None  # the registry's word on the credential (identity.resolve.Known), where there is one
+    first: int | None = None  # the first gateway of the customer's set, where the client's side names it
     attempts: int = 0
     written: int = 0  # attempts of which at least one byte went out
     final: Final | None = None
--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -29,7 +29,7 @@
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.door import Door
 from tamarindfold.ingress.exchange import Exchange, Failed, Final, Lapsed, Left, Refused, Served
-from tamarindfold.ingress.front import ClientConnection, Front, Pressed
+from tamarindfold.ingress.front import Front, Pressed, TokenConnection
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.ingress.upstream import Attempt
 from tamarindfold.interface import Outcome, Why
@@ -117,7 +117,7 @@
                                 units)
 
 
-class _Sub(ClientConnection):
+class _Sub(TokenConnection):
     """A proxy's connection: sub-requests and reports."""
 
     front: ForwardFront
@@ -136,12 +136,11 @@
         self.front.counts["bodies_not_come"] += 1
         return request
 
-    @property
-    def body_ms(self) -> float:
-        """How long a body may take to come."""
+    def phase_ms(self, phase: int) -> float:
+        """Other bodies than those of reports may be left out."""
         head = self.reader.head()
-        waits = head is None or head.target == REPORT
-        return self.limits.body_timeout_ms if waits else self.front.section.body_ms
+        waits = phase < 2 or head is None or head.target == REPORT
+        return super().phase_ms(phase) if waits else self.front.section.body_ms
 
     def _answer(self, request: Request) -> bytes:
         front = self.front
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,6 +11,10 @@
 from tamarindfold.http1.responses import ResponseReader
 
 
+class NoRoom(ConnectionRefusedError):
+    """The gateway itself may hold no further connection."""
+
+
 @dataclass(slots=True)
 class Connection:
     """One connection and what reads its answers."""
@@ -35,9 +40,10 @@
 
     def __init__(self, idle_ms: float, idle_per_server: int, connections_per_server: int,
                  connect_timeout_ms: float, source_address: str, answer_bytes: int,
-                 clock: Callable[[], float]) -> None:
+                 clock: Callable[[], float], connections: int = sys.maxsize) -> None:
         self.idle_ms, self.idle_per_server, self.most = idle_ms, idle_per_server, connections_per_server
         self.connect_s, self.answer_bytes, self.clock = connect_timeout_ms / 1000, answer_bytes, clock
+        self.most_in_all, self.held = connections, 0
         self.source = (source_address, 0) if source_address else None
         self.idle: dict[int, list[Connection]] = {}
         self.open: dict[int, int] = {}  # connections by server, idle ones among them
@@ -59,7 +65,11 @@
         """A new connection; OSError where it can't be had in time or the server has its full number."""
         if self.open.get(backend, 0) >= self.most and not self._drop_idle(backend):
             self.counts["at_limit"] += 1
-            raise ConnectionRefusedError("at the limit of connections to this server")
+            raise NoRoom("at the limit of connections to this server")
+        if self.held >= self.most_in_all and not any(self._drop_idle(other) for other in self.idle):
+            self.counts["at_limit"] += 1
+            raise NoRoom("at the limit of connections to all servers")
+        self.held += 1
         self.open[backend] = self.open.get(backend, 0) + 1
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -118,7 +128,14 @@
         self.close(idle.pop(0))
         return True
 
+    def drop(self, backend: int) -> None:
+        """Close the idle connections to a server that is no longer the one they were opened to."""
+        while self._drop_idle(backend):
+            pass
+        self.idle.pop(backend, None)
+
     def _closed(self, backend: int) -> None:
+        self.held -= 1
         left = self.open.get(backend, 0) - 1
         if left > 0:
             self.open[backend] = left
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -13,8 +13,10 @@
 
 from tamarindfold.choice import Gateway
 from tamarindfold.config import derive
+from tamarindfold.config.addresses import split_address
 from tamarindfold.config.model import GatewayConfig, Introspection
 from tamarindfold.counter.driver import Counter
+from tamarindfold.counter.pipeline import IncrByFloat
 from tamarindfold.identity.driver import Identity
 from tamarindfold.identity.files import pepper, public_key
 from tamarindfold.identity.model import PlanRow
@@ -26,6 +28,7 @@
 from tamarindfold.ingress.forward import ForwardFront
 from tamarindfold.ingress.front import Front
 from tamarindfold.ingress.pool import Pool
+from tamarindfold.ingress.servers import Servers
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.ingress.upstream import Upstream
 from tamarindfold.interface import FleetUpdate, ListKind, PlansChanged, Settings
@@ -57,9 +60,9 @@
                          config.instance.stall_ms)
         self.pool = Pool(up.idle_ms, up.idle_per_server, up.connections_per_server, up.connect_timeout_ms,
                          up.source_address, config.limits.answer_bytes, clock)
-        fields = self.core.gateway.settings.report_fields
         self.timers = Timers(clock)
-        self.core.sender = Upstream(self.core, self.pool, self.timers, fields, clock, log)
+        servers = Servers(lambda: self.core.gateway.settings, log)
+        self.core.sender = Upstream(self.core, self.pool, self.timers, servers, clock)
         self.introspector = Introspector(
             look.url, look.client_id, look.secret(), checker_rules(look), look.connections, look.answer_bytes,
             config.instance.seed, clock, log)
@@ -84,7 +87,7 @@
         section = config.identity
         assert section is not None
         made = Identity(
-            derive.split_address(section.registry, "identity.registry"), public_key(Path(section.public_key)),
+            split_address(section.registry, "identity.registry"), public_key(Path(section.public_key)),
             pepper(Path(section.pepper)), self._state_file("identity", "bin"), section.skew_ms,
             section.wait_ms, section.reconnect_ms, config.upstream.source_address, clock, self._plans_came,
             self.log)
@@ -119,15 +122,16 @@
         """Open the sockets; gives the address that clients reach. OSError where it can't be had."""
         config = self.config
         if (section := config.counter) is not None:
-            parts = [derive.split_address(part, "counter.parts") for part in section.parts]
-            self.counter = Counter(parts, section.timeout_ms, section.most_pending, section.prefix,
+            parts = [split_address(part, "counter.parts") for part in section.parts]
+            self.counter = Counter(parts, section.timeout_ms, section.most_pending,
+                                   IncrByFloat(section.prefix),
                                    section.reconnect_ms, self.steady.now, self.core.counted, self.log)
             self.core.count = self.counter.call
         if config.fleet.static:
             self.core.fleet_news(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
         else:
             self.feed = FeedFollower(
-                derive.split_address(config.fleet.feed, "fleet.feed"), config.fleet.reconnect_ms,
+                split_address(config.fleet.feed, "fleet.feed"), config.fleet.reconnect_ms,
                 self._state_file("fleet", "json"), self.core.fleet_news, self.log,
                 config.upstream.source_address)
             self.feed.start()
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -1,6 +1,7 @@
 """Attempts: connect, look once more, write, read, and tell truthfully how it went.
 
-An attempt runs in the greenlet of its request, which would else only wait for it.
+An attempt runs in the greenlet of its request, which would else only wait for it. How requests are worded
+and what answers mean is the peers' (Peers).
 """
 
 from __future__ import annotations
@@ -8,26 +9,37 @@
 import math
 from collections.abc import Callable
 from contextlib import suppress
-from functools import lru_cache
+from typing import Protocol
 
 from gevent import socket
 
-from tamarindfold.config.derive import backend_address
-from tamarindfold.http1 import write
 from tamarindfold.http1.responses import BadResponse, ResponseReader
-from tamarindfold.ingress import headers as names
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Served
-from tamarindfold.ingress.pool import Connection, Pool
+from tamarindfold.ingress.pool import Connection, NoRoom, Pool
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.interface import BackendEntry, Effect, Outcome
 
 
-@lru_cache(maxsize=4096)
-def _server(backend: int) -> tuple[tuple[str, int], bytes]:
-    """Address of a server, and how a Host header names it."""
-    host, port = backend_address(backend)
-    return (host, port), f"{host}:{port}".encode()
+class Peers(Protocol):
+    """What is spoken with the servers: no I/O."""
+
+    whole: bool  # an attempt may have run only if its last byte was written; else from the first on
+
+    def address(self, backend: int) -> tuple[str, int] | None:
+        """Where a server is reached; None where it is not known any more."""
+
+    def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
+        """The bytes of an attempt."""
+
+    def outcome(self, reader: ResponseReader) -> Outcome:
+        """What a whole answer means."""
+
+    def units(self, reader: ResponseReader) -> float:
+        """What the request really took; 0 where the answer does not say."""
+
+    def report(self, reader: ResponseReader) -> tuple[float, ...]:
+        """The load report's values in the order of the settings; none where there is no good one."""
 
 
 class Attempt:
@@ -59,11 +71,9 @@
 class Upstream:
     """Carries out Send and Cancel."""
 
-    def __init__(self, core: Core, pool: Pool, timers: Timers, report_fields: tuple[str, ...],
-                 clock: Callable[[], float], log: Callable[..., None]) -> None:
-        self.core, self.pool, self.timers, self.clock, self.log = core, pool, timers, clock, log
-        self.report_fields = report_fields
-        self.names = [cls.name.encode() for cls in core.gateway.settings.classes]
+    def __init__(self, core: Core, pool: Pool, timers: Timers, peers: Peers,
+                 clock: Callable[[], float]) -> None:
+        self.core, self.pool, self.timers, self.peers, self.clock = core, pool, timers, peers, clock
         self.unsafe = [cls.effect is Effect.UNSAFE for cls in core.gateway.settings.classes]
         self.running: dict[tuple[int, int], Attempt] = {}
 
@@ -108,15 +118,15 @@
             reader = connection.reader
             if outcome is Outcome.OK:
                 served = Served(reader.status, reader.headers, reader.body)
-                units = self._units(reader)
-            report = self._report(reader)
+                units = self.peers.units(reader)
+            report = self.peers.report(reader)
             self.pool.give_back(connection)
         self.core.attempt_ended(exchange, attempt.number, attempt.backend, outcome, self.clock() - started,
                                 served, units, report)
 
     @staticmethod
     def _cut_short(attempt: Attempt, outcome: Outcome) -> Outcome:
-        """What an attempt ended from here comes to: before the first byte, it never ran."""
+        """What an attempt ended from here comes to: one that was not written never ran."""
         if attempt.wrote:
             assert attempt.cut is not None
             return attempt.cut
@@ -126,7 +136,10 @@
         exchange, hindrance = attempt.exchange, self.core.hindrance
         if attempt.cut is not None or hindrance(exchange, attempt.entry):
             return Outcome.MOOT
-        attempt.connection = connection = self._connection(attempt)
+        try:
+            attempt.connection = connection = self._connection(attempt)
+        except NoRoom:  # this gateway's own bound says nothing of the server
+            return Outcome.MOOT
         if attempt.cut is not None:
             return Outcome.CONNECT_FAILED
         if hindrance(exchange, attempt.entry):  # connecting took its time
@@ -141,9 +154,7 @@
                 reader.feed(data)
             elif attempt.cut is not None or not reader.end():
                 return Outcome.RESET
-        if reader.status < 500:  # 5xx is the server's failure, all else its answer to the client
-            return Outcome.OK
-        return Outcome.FULL if reader.status == 503 and reader.get(names.FULL) == b"1" else Outcome.ERROR
+        return self.peers.outcome(reader)
 
     def _connection(self, attempt: Attempt) -> Connection:
         """An idle connection, but a new one for what must not run twice.
@@ -156,57 +167,34 @@
             idle = self.pool.take(backend)
             if idle is not None:
                 return idle
-        return self.pool.connect(backend, _server(backend)[0], (attempt.until - self.clock()) / 1000)
+        address = self.peers.address(backend)
+        if address is None:
+            raise ConnectionRefusedError("the server is gone")
+        return self.pool.connect(backend, address, (attempt.until - self.clock()) / 1000)
 
     def _write(self, attempt: Attempt, connection: Connection) -> bool:
-        """Write the request; False where not a byte of it was taken. From the first byte on it may run."""
-        exchange = attempt.exchange
+        """Write the request; False where it can't have run: where not a byte of it, or not all of it, was
+        taken. Where the first byte counts, what the server may have answered before it closed is read."""
+        exchange, whole = attempt.exchange, self.peers.whole
         connection.reader.begin(exchange.method == "HEAD")
-        own = [(names.REQUEST, exchange.name), (names.ATTEMPT, b"%d" % attempt.number),
-               (names.CUSTOMER, b"%d" % exchange.customer), (names.PLAN, self._plan(exchange.plan)),
-               (names.CLASS, self.names[exchange.cls]), (names.UNITS, b"%g" % exchange.units),
-               (names.TIME_LEFT, b"%d" % max(0, attempt.until - self.clock()))]
-        data = write.request(exchange.method, exchange.target, _server(attempt.backend)[1],
-                             exchange.headers + own, exchange.body)
+        data = self.peers.request(exchange, attempt.number, attempt.backend,
+                                  max(0.0, attempt.until - self.clock()))
         sock = connection.sock
         try:
             sent = sock.send(data)
         except OSError:
             return False
-        attempt.wrote = True
-        exchange.written += 1
         if sent < len(data):
             rest = memoryview(data)
+            if not whole:
+                attempt.wrote = True
             try:
                 while sent < len(data):
                     sent += sock.send(rest[sent:])
             except OSError:
-                pass  # it may have answered before it closed (RFC 9112 section 9.5): read what there is
+                if whole:
+                    return False
+                # RFC 9112 section 9.5: read what there is
+        attempt.wrote = True
+        exchange.written += 1
         return True
-
-    def _plan(self, number: int) -> bytes:
-        return self.core.gateway.settings.plans[number].name.encode()
-
-    def _units(self, reader: ResponseReader) -> float:
-        value = reader.get(names.UNITS)
-        if value is None:
-            return 0.0
-        try:
-            units = float(value)
-        except ValueError:
-            units = math.nan
-        if not 0 <= units <= self.core.gateway.settings.most_units:
-            self.log("upstream.bad_units", value=repr(value))
-            return 0.0
-        return units
-
-    def _report(self, reader: ResponseReader) -> tuple[float, ...]:
-        """The load report's values in the order of the settings; none where one is missing or no number."""
-        if not self.report_fields or (value := reader.get(names.LOAD)) is None:
-            return ()
-        pairs = dict(part.strip().partition(b"=")[::2] for part in value.split(b","))
-        try:
-            values = tuple(float(pairs[field.encode()]) for field in self.report_fields)
-        except (KeyError, ValueError):
-            return ()
-        return values if all(map(math.isfinite, values)) else ()
--- a/tamarindfold/membership/feed.py
+++ b/tamarindfold/membership/feed.py
@@ -11,7 +11,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from tamarindfold.config.derive import backend_id, split_address
+from tamarindfold.config.addresses import split_address
+from tamarindfold.config.derive import backend_id
 from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind
 
 _STATES = {"ready": BackendState.READY, "draining": BackendState.DRAINING, "gone": BackendState.GONE}
--- /dev/null
+++ b/tamarindfold/node/front.py
@@ -0,0 +1,111 @@
+"""The front for the platform's clients: headers are believed once they are valid."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gevent import socket
+
+from tamarindfold.http1.requests import Rejected, Request
+from tamarindfold.ingress.connection import ClientConnection, Listener
+from tamarindfold.ingress.core import Core
+from tamarindfold.ingress.exchange import Exchange, Refused
+from tamarindfold.ingress.timers import Timers
+from tamarindfold.interface import Why
+from tamarindfold.node.limits import Limits
+from tamarindfold.node.wording import PlatformWords
+from tamarindfold.platform import names, words
+from tamarindfold.platform.requests import Admission
+
+FULL_MS = 100.0  # to those refused because too many requests are open
+
+
+class PlatformFront(Listener):
+    """Serves the platform's clients within a budget of connections."""
+
+    def __init__(self, limits: Limits, core: Core, timers: Timers, clock: Callable[[], float],
+                 log: Callable[..., None], why_not_ready: Callable[[], str]) -> None:
+        settings = core.gateway.settings
+        super().__init__(limits, core, PlatformWords(settings.retry_after), timers, clock, log)
+        self.bounds, self.why_not_ready = limits, why_not_ready
+        self.admission = Admission(settings)
+        self.connection = PlatformConnection
+        self.clients = 0
+        self.silent: dict[socket.socket, None] = {}  # connections that have not yet brought a good request
+        self.open_names: set[bytes] = set()
+        self.counts |= dict.fromkeys(("evicted", "no_room", "ahead"), 0)
+
+    def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        """One client connection, if there is room or room can be made."""
+        if self.clients >= self.bounds.connections and not self._make_room():
+            self.counts["no_room"] += 1
+            sock.close()
+            return
+        self.clients += 1
+        self.silent[sock] = None
+        try:
+            super().serve(sock, address)
+        finally:
+            self.silent.pop(sock, None)
+            self.clients -= 1
+
+    def _make_room(self) -> bool:
+        """Close the oldest connection that brought nothing, or else the one idle longest."""
+        victim = next(iter(self.silent), None)
+        if victim is None:
+            victim, since = next(iter(self.idle.items()), (None, 0.0))
+            if victim is None or self.clock() - since < self.bounds.idle_least_ms:
+                return False
+        self.counts["evicted"] += 1
+        self.silent.pop(victim, None)
+        self.idle.pop(victim, None)
+        victim.close()
+        return True
+
+
+class PlatformConnection(ClientConnection):
+    """A connection of the platform's clients: one request at a time."""
+
+    front: PlatformFront
+
+    def phase_ms(self, phase: int) -> float:
+        """A connection's first request has a bound as a whole, or trickling bytes would hold it open."""
+        allowed = super().phase_ms(phase)
+        if not self.answered:
+            gone = self.front.clock() - self.accepted_ms
+            allowed = min(allowed, max(0.0, self.front.bounds.first_ms - gone))
+        return allowed
+
+    @property
+    def keep(self) -> bool:
+        """Who sends the next request before the answer does not keep to the protocol."""
+        return super().keep and not self.ahead
+
+    def _enter(self, request: Request, peer: str) -> Exchange | bytes:
+        front, bounds = self.front, self.front.bounds
+        if request.target == names.READY and request.method == "GET":
+            return words.ready(front.why_not_ready(), self.keep)
+        if self.reader.ready or self.reader.in_message:
+            front.counts["ahead"] += 1
+            raise Rejected(400, "requests are sent one at a time")
+        asked = front.admission.read(request)
+        if asked.name in front.open_names:
+            raise Rejected(409, "x-call-id: of a request that is open")
+        front.silent.pop(self.sock, None)
+        if len(front.core.open) >= bounds.open_requests:
+            front.counts["full"] += 1
+            return front.words.final(Refused(FULL_MS, Why.PRESSURE), asked.name, self.keep)
+        front.core.numbers = number = front.core.numbers + 1
+        deadline = front.clock() + asked.time_left_ms
+        return Exchange(
+            number, asked.name, asked.cls, asked.customer, asked.plan, asked.units, asked.width, asked.retry,
+            deadline, deadline - bounds.answer_margin_ms, request.method, request.target, [], request.body,
+            first=asked.first)
+
+    def _decided(self, exchange: Exchange) -> bytes:
+        open_names = self.front.open_names
+        open_names.add(exchange.name)
+        try:
+            return super()._decided(exchange)
+        finally:
+            open_names.discard(exchange.name)
--- /dev/null
+++ b/tamarindfold/node/ingress.py
@@ -0,0 +1,157 @@
+"""One ingress on the platform put together: started, moved to other addresses, stopped."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.server import StreamServer
+
+from tamarindfold.choice import Gateway
+from tamarindfold.counter.driver import Counter
+from tamarindfold.ingress.clock import SteadyClock
+from tamarindfold.ingress.core import Core
+from tamarindfold.ingress.pool import Pool
+from tamarindfold.ingress.timers import Timers
+from tamarindfold.ingress.upstream import Upstream
+from tamarindfold.interface import ListKind
+from tamarindfold.node.discovery import Watch
+from tamarindfold.node.front import PlatformFront
+from tamarindfold.node.limits import budget
+from tamarindfold.node.wording import Backends
+from tamarindfold.platform.configuration import Address, Configuration
+from tamarindfold.platform.counter import AddGet
+from tamarindfold.platform.registry import AddressBook
+
+BACKLOG = 1024
+ACCEPT_AT_ONCE = 8  # few, so that room is made before more descriptors are taken
+FEEL_S, TIDY_EVERY, SLEW_EVERY = 0.025, 40, 40  # the beat, and beats between chores
+KEPT_S, COME_S = 0.45, 0.7  # after SIGTERM: idle connections stay so long, and new ones are taken so long
+STOP_S = 30.0  # a stopping ingress waits no longer than this for what it holds
+
+
+class Node:
+    """A running ingress."""
+
+    def __init__(self, config: Configuration, log: Callable[..., None]) -> None:
+        self.config, self.log = config, log
+        self.steady = SteadyClock()
+        clock, settings = self.steady.now, config.settings
+        self.limits = limits = budget(config.sockets, config.open_cap)
+        self.core = Core(Gateway(settings, config.seed), clock, log, limits.stall_ms)
+        self.book = AddressBook(config.zones, config.kinds)
+        self.pool = Pool(config.conn_idle_ms / 2, limits.idle_per_backend, limits.backend_connections,
+                         config.dial_timeout_ms, "", limits.answer_bytes, clock, limits.backend_connections)
+        self.timers = Timers(clock)
+        self.core.sender = Upstream(self.core, self.pool, self.timers,
+                                    Backends(self.book.address, settings.report_fields), clock)
+        self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
+        self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
+        self.counter: Counter | None = None
+        self.listener: StreamServer | None = None
+        self.chores: list[gevent.Greenlet] = []
+
+    def why_not_ready(self) -> str:
+        """Why requests can't be decided now; empty where they can."""
+        return "" if self.core.fleet else "no list of backends yet"
+
+    def start(self) -> None:
+        """Open the sockets; OSError where the address can't be had, ValueError for a bad list."""
+        config, limits = self.config, self.limits
+        if config.known:
+            self._told(config.known, ListKind.CACHED)
+        if config.counter is not None and config.settings.counter:
+            self.counter = Counter([config.counter], config.settings.counter_timeout_ms,
+                                   limits.pending_counts, AddGet(), limits.counter_reconnect_ms,
+                                   self.steady.now, self.core.counted, self.log, limits.counter_keep_ms)
+            self.core.count = self.counter.call
+        self.watch.start()
+        self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
+        self.listener.max_accept = ACCEPT_AT_ONCE
+        self.listener.start()
+        self.chores = [gevent.spawn(self._beat), gevent.spawn(self._tell_counts)]
+        self.log("node.listening", clients=limits.connections, backends=limits.backend_connections)
+
+    def move(self, discovery: Address, counter: Address | None) -> None:
+        """Discovery and counter are elsewhere from now on."""
+        self.watch.move(discovery)
+        if self.counter is not None and counter is not None:
+            self.counter.move([counter])
+        self.log("node.moved", discovery=discovery, counter=counter)
+
+    def stop(self) -> None:
+        """Answer what comes while clients still come and all that was taken, then close."""
+        listener, front = self.listener, self.front
+        assert listener is not None
+        front.stopping = True  # each answer ends its connection from now on
+        gevent.sleep(KEPT_S)
+        front.stop()
+        gevent.sleep(COME_S - KEPT_S)
+        listener.stop_accepting()
+        self._empty(listener)
+        listener.close()
+        until = self.steady.now() + STOP_S * 1000
+        while front.clients and self.steady.now() < until:
+            gevent.sleep(0.01)
+        self.log("node.stopped", **self.counts())
+        gevent.killall(self.chores)
+        self.watch.stop()
+        if self.counter is not None:
+            self.counter.stop()
+        self.timers.stop()
+
+    def _empty(self, listener: StreamServer) -> None:
+        """Take the connections that wait in the accept queue: closing it would reset them."""
+        while True:
+            try:
+                accepted = listener.do_read()
+            except OSError as error:
+                if error.errno in (errno.EAGAIN, errno.ECONNABORTED):
+                    return
+                raise
+            if accepted is None:
+                return
+            gevent.spawn(self.front.serve, *accepted)
+
+    def _told(self, line: bytes, kind: ListKind = ListKind.FULL) -> None:
+        """A line of the list, for the module; connections to what moved or restarted are of no use."""
+        update, moved = self.book.take(line, kind)
+        for number in moved:
+            self.pool.drop(number)
+        self.core.fleet_news(update)
+
+    def _beat(self) -> None:
+        """Notes that the loop turns; tidies now and then."""
+        beats = 0
+        while True:
+            gevent.sleep(FEEL_S)
+            self.core.turned()
+            beats += 1
+            if not beats % TIDY_EVERY:
+                self.pool.tidy(self.core.fleet.__contains__)
+            if not beats % SLEW_EVERY:
+                self.steady.slew()
+
+    def _tell_counts(self) -> None:
+        while True:
+            gevent.sleep(self.limits.counts_every_ms / 1000)
+            self.log("node.counts", **self.counts())
+
+    def counts(self) -> dict[str, Any]:
+        """All counters, and the sizes of all that could grow."""
+        gateway, front = self.core.gateway, self.front
+        pipeline = self.counter.parts[0].pipeline if self.counter is not None else None
+        return {
+            "requests": self.core.counts, "front": front.counts, "connections": self.pool.counts,
+            "watch": self.watch.counts,
+            "counter": {"turned_away": pipeline.turned_away, "dropped": pipeline.dropped,
+                        "out": len(pipeline.calls)} if pipeline is not None else {},
+            "sizes": {"clients": front.clients, "idle": len(front.idle), "silent": len(front.silent),
+                      "held": front.held, "open": len(self.core.open), "backends": len(self.core.fleet),
+                      "to_backends": self.pool.held, "book": len(self.book.entries),
+                      "customers": len(gateway.customers), "calls": len(gateway.calls),
+                      "counts": len(gateway.counts), "timers": self.timers.wheel.count}}
+
+
--- /dev/null
+++ b/tamarindfold/node/limits.py
@@ -0,0 +1,41 @@
+"""Bounds for safety of an ingress on the platform; none of them decides which requests are served."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+RESERVE = 40  # descriptors for the listener, discovery, counter, the loop, and connections just closing
+CLIENT_PART = 0.55  # of the rest; usual clients hold a third of all at the most
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Sizes in bytes, times in milliseconds."""
+
+    connections: int  # of clients
+    backend_connections: int
+    open_requests: int
+    header_bytes: int = 16_384
+    header_count: int = 64
+    header_timeout_ms: float = 2_000
+    body_bytes: int = 65_536
+    body_timeout_ms: float = 2_000
+    idle_timeout_ms: float = 20_000
+    idle_least_ms: float = 2_000  # where room is short, a connection idle for so long is closed
+    first_ms: float = 2_000  # a new connection's whole first request has come by then
+    write_timeout_ms: float = 2_000
+    answer_margin_ms: float = 20
+    answer_bytes: int = 65_536 + 16_384
+    idle_per_backend: int = 16
+    pending_counts: int = 512
+    counter_reconnect_ms: float = 50
+    counter_keep_ms: float = 2_500  # the counter closes what stood idle for 10 s, or less
+    stall_ms: float = 300
+    counts_every_ms: float = 10_000
+
+
+def budget(sockets: int, open_cap: int) -> Limits:
+    """One budget of descriptors, shared between clients and backends."""
+    free = sockets - RESERVE
+    clients = int(free * CLIENT_PART)
+    return Limits(clients, free - clients, min(clients, open_cap))
--- /dev/null
+++ b/tamarindfold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol without I/O: configuration, requests, answers, backends, registry, counter."""
--- /dev/null
+++ b/tamarindfold/platform/configuration.py
@@ -0,0 +1,108 @@
+"""The configuration that an ingress finds on its machine: JSON to checked values.
+
+The settings in it have the simulator's names and units, so one function reads both.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from tamarindfold.bench.settings import Reader, read_settings
+from tamarindfold.config.addresses import split_address
+from tamarindfold.interface import Settings
+
+Address = tuple[str, int]
+LEAST_SOCKETS = 128
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """What one ingress is told. Times in milliseconds."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    known: bytes  # the list of backends in the registry's form
+    settings: Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    conn_idle_ms: float
+    dial_timeout_ms: float
+    open_cap: int
+
+
+def flatten(value: Any, path: str = "") -> dict[str, str]:
+    """Nested JSON as the settings' paths; ValueError where something in it can't be a setting."""
+    if isinstance(value, dict):
+        found: dict[str, str] = {}
+        for key, inner in value.items():
+            found |= flatten(inner, f"{path}.{key}" if path else str(key))
+        return found
+    if isinstance(value, list):
+        if not any(isinstance(item, dict | list) for item in value):
+            plain = ",".join(text for item in value for text in flatten(item, "x").values())
+            return {path: plain} | ({} if value else {f"{path}.count": "0"})
+        found = {f"{path}.count": str(len(value))}
+        for i, inner in enumerate(value):
+            found |= flatten(inner, f"{path}.{i}")
+        return found
+    if value is None:
+        return {}
+    if isinstance(value, bool):
+        return {path: "true" if value else "false"}
+    return {path: str(value)}
+
+
+def _member(data: dict[str, Any], key: str, kind: type) -> Any:
+    value = data.get(key)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ValueError(f"{key}: {'missing' if value is None else f'{value!r:.60} is no {kind.__name__}'}")
+    return value
+
+
+def addresses(text: bytes) -> tuple[Address, Address | None]:
+    """Discovery and counter alone, for a configuration that was replaced; ValueError."""
+    data = _decode(text)
+    counter = data.get("counter")
+    return (split_address(_member(data, "discovery", str), "discovery"),
+            split_address(counter, "counter") if counter else None)
+
+
+def _decode(text: bytes) -> dict[str, Any]:
+    try:
+        data = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(f"not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ValueError("not a JSON object")
+    return data
+
+
+def read(text: bytes) -> Configuration:
+    """The configuration; ValueError names what is missing or malformed. Unknown keys are ignored."""
+    data = _decode(text)
+    seed = data.get("seed", "0")
+    try:
+        number = seed if isinstance(seed, int) else int(str(seed), 16)
+    except ValueError:
+        raise ValueError(f"seed: {seed!r:.60} is no hexadecimal number") from None
+    sockets = _member(_member(data, "limits", dict), "sockets", int)
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"limits.sockets: {sockets} is below {LEAST_SOCKETS}")
+    reader = Reader(flatten(_member(data, "settings", dict)))
+    discovery, counter = addresses(text)
+    return Configuration(
+        name=str(data.get("name", "")), listen=split_address(_member(data, "listen", str), "listen"),
+        discovery=discovery, counter=counter, seed=number, sockets=sockets,
+        known=msgspec.json.encode(data["known"]) if data.get("known") else b"",
+        settings=read_settings(reader), zones=tuple(reader.text("zones", "").split(",")),
+        kinds=tuple(reader.text("machine_types", "").split(",")),
+        conn_idle_ms=reader.number("permissions.conn_idle", 30_000),
+        dial_timeout_ms=reader.number("permissions.dial_timeout", 250),
+        open_cap=reader.whole("permissions.open_cap", 20_000))
--- /dev/null
+++ b/tamarindfold/platform/names.py
@@ -0,0 +1,18 @@
+"""The platform's names on the sockets; nowhere else in the project are these words used."""
+
+# client to ingress
+CALL_ID = b"x-call-id"
+CALL_CLASS = b"x-call-class"
+CONTRACT = b"x-contract"
+BUDGET = b"x-budget"
+METERING = b"x-metering"
+AGAIN = b"x-again"
+KEY = b"key"  # in the query
+
+# backend to ingress
+REJECTED = b"x-rejected"
+LOAD_REPORT = b"x-load-report"
+
+HOST = b"origin.svc"
+READY = b"/health/ready"
+INSTANCES = b"/registry/instances"
--- a/tamarindfold/rehearsal/load.py
+++ b/tamarindfold/rehearsal/load.py
@@ -15,7 +15,8 @@
 from tamarindfold.client.core import Call as Core
 from tamarindfold.client.gateways import Gateways
 from tamarindfold.client.spread import Reconnects
-from tamarindfold.config.derive import backend_id, split_address
+from tamarindfold.config.addresses import split_address
+from tamarindfold.config.derive import backend_id
 from tamarindfold.http1 import write
 from tamarindfold.http1.responses import BadResponse
 from tamarindfold.ingress import headers as names
--- a/tamarindfold/standins/proxy.py
+++ b/tamarindfold/standins/proxy.py
@@ -15,7 +15,8 @@
 from gevent import socket
 from msgspec import Struct
 
-from tamarindfold.config.derive import backend_id, split_address
+from tamarindfold.config.addresses import split_address
+from tamarindfold.config.derive import backend_id
 from tamarindfold.http1 import write
 from tamarindfold.http1.requests import Headers, Request
 from tamarindfold.http1.responses import BadResponse
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,12 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarindfold.counter.pipeline import Pipeline, part_of
+from tamarindfold.counter.pipeline import IncrByFloat, Pipeline, part_of
 from tamarindfold.interface import Count, CountAnswered, Outcome
 
 
 def pipeline(most: int = 10) -> Pipeline:
-    made = Pipeline(30.0, most, "tf")
+    made = Pipeline(30.0, most, IncrByFloat("tf"))
     made.connected = True
     return made
 
@@ -26,7 +26,7 @@
 
 
 def test_without_a_connection_nothing_was_added() -> None:
-    p = Pipeline(30.0, 10, "tf")
+    p = Pipeline(30.0, 10, IncrByFloat("tf"))
     assert p.call(5, Count(1, 1, 1)).outcome is Outcome.CONNECT_FAILED
 
 
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -312,7 +312,7 @@
     for value, units in ((b"3", 3.0), (b"1e9", 0.0), (b"-1", 0.0), (b"nan", 0.0), (b"many", 0.0)):
         reader.begin()
         reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTamarind-Units: " + value + b"\r\n\r\n")
-        assert r.ingress.core.sender._units(reader) == units
+        assert r.ingress.core.sender.peers.units(reader) == units
 
 
 # ---- the counter
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -223,7 +223,7 @@
 
 def test_a_request_booked_to_another_plan(rig, tmp_path) -> None:
     r = rig(plans=CAPPED)
-    r.ingress.core.sender._plan = lambda number: b"small"
+    r.ingress.core.sender.peers.plan = lambda number: b"small"
     assert broken(verdicts(r, tmp_path)) == {"tokens checked"}
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
 from build import settings
 
 from tamarindfold.bench import wire
+from tamarindfold.bench.settings import SettingsError, parse_settings
 from tamarindfold.interface import (
     Cancel, Count, CountAnswered, Effect, Fail, FleetUpdate, ListKind, Log, Outcome, Probe, Refuse, RequestArrived,
     Send, SetTimer, Tell,
@@ -68,7 +69,7 @@
 
 
 def test_settings_are_read_and_unknown_keys_ignored() -> None:
-    s = wire.parse_settings(TEXT)
+    s = parse_settings(TEXT)
     assert (s.gateways, s.index, s.drain_grace_ms) == (3, 2, 500)
     assert s.classes[0].effect is Effect.KEYED
     assert s.report_fields == ("backlog", "utilization")
@@ -79,8 +80,8 @@
                                  and "dedup" not in line])
 def test_a_missing_required_key_is_named(key: str) -> None:
     text = "\n".join(line for line in TEXT.splitlines() if not line.startswith(key + "="))
-    with pytest.raises(wire.WireError, match=key.replace(".", r"\.")):
-        wire.parse_settings(text)
+    with pytest.raises(SettingsError, match=key.replace(".", r"\.")):
+        parse_settings(text)
 
 
 @pytest.mark.parametrize(("old", "new", "named"), [
@@ -90,7 +91,7 @@
 ])
 def test_a_bad_value_is_named(old: str, new: str, named: str) -> None:
     with pytest.raises(ValueError, match=named):
-        wire.parse_settings(TEXT.replace(old, new))
+        parse_settings(TEXT.replace(old, new))
 
 
 def test_the_documented_records_are_read() -> None:
