One lost answer is no jam of the fleet, and a client that left calls its attempt off

Cause: choice.py learn(): one time-out of 6 s counted 46 times what was expected in the fleet's slowness; and forecast(): the oldest attempt out stood for its backend's silence, whatever was answered since. Change: a sign moves the fleet by a bounded value; a backend's silence counts from its last answer; attempts of clients that left are called off (Cancel).

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
+    Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, PlansChanged, Refuse, Remembered, RequestArrived,
     RequestClass, RequestWithdrawn, Restored, Send, Settings, StoodStill, UsePassed, Why,
 )
@@ -146,6 +146,7 @@
 
     def __init__(self, entry: BackendEntry, classes: int) -> None:
         self.entry, self.load = entry, 0.0  # work outstanding from here
+        self.heard_at = -inf  # when it last answered anything: one lost connection is no silent backend
         self.out: dict[tuple[int, int], Sent] = {}
         self.slowness = [Slowness() for _ in range(classes)]
         self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
@@ -200,7 +201,12 @@
         return self.actions
 
     def withdrawn(self, now: float, event: RequestWithdrawn | AttemptEnded) -> None:
-        self.calls.pop(event.request, None)
+        """Nobody waits any more: what is still out is called off."""
+        call = self.calls.pop(event.request, None)
+        if call and call.tried and self.settings.cancel:
+            last = len(call.tried) - 1
+            if (event.request, last) in call.tried[-1].out:
+                self.actions.append(Cancel(event.request, last))
 
     def plans_changed(self, now: float, event: PlansChanged) -> None:
         """A customer meets its new plan with its next request."""
@@ -415,7 +421,8 @@
         """Expected time of a send to this backend; silence bounds it from below."""
         drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
-        return max(call.work * drag * self.pile(now, backend), now - max(sent_at, self.woke_at) - own)
+        silent = now - max(sent_at, self.woke_at, backend.heard_at) - own
+        return max(call.work * drag * self.pile(now, backend), silent)
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
@@ -509,6 +516,8 @@
         _, work, pile, cls = sent
         took = event.elapsed_ms / pile / work
         fleet = self.slowness.now(now)
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            backend.heard_at = now
         if event.outcome is Outcome.OK:
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
             self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
@@ -517,4 +526,5 @@
             for c in [cls] if own else range(len(self.unit_ms)):
                 backend.slowness[c].sign(now, max(DREAD, took), BLAME, fleet)
         if event.outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
-            self.slowness.sign(now, DREAD / 2 if event.outcome is Outcome.FULL else took, 1 - KEEP)
+            sign = DREAD / 2 if event.outcome is Outcome.FULL else took
+            self.slowness.sign(now, min(sign, DREAD / 2), 1 - KEEP)  # one lost answer is no jam of the fleet
