Answers are timed by the kernel's arrival stamp; warm connections serve unsafe requests

At fault: upstream.py run() took the clock when the answer was read; pool.py kept 16 idle connections a backend and unsafe requests always opened one, so 27,000 connections for 37,000 attempts; choice.py choose() computed the fleet's slowness and the worths anew for each backend. Change: SO_TIMESTAMPNS on both sides (ingress/arrival.py; deadlines of the platform's clients count from it too); unsafe requests go on a connection used in the last 500 ms, else on a new one; a coarser timer wheel.

--- a/benchmarks/node.py
+++ b/benchmarks/node.py
@@ -1,4 +1,4 @@
-"""What an ingress on the platform costs: CPU for each request, start-up, memory, at rates held by an open loop.
+"""What an ingress on the platform costs: CPU a request, start-up, memory, at rates held by an open loop.
 
 The world (backends, discovery, counter) and the load run on cores of their own, the ingress on one.
 """
@@ -23,13 +23,13 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from tamarindfold.http1.responses import ResponseReader
-from tamarindfold.standins.counter import CounterStandinConfig
-from tamarindfold.standins.platform import (
+from tamarindfold.http1.responses import ResponseReader  # noqa: E402
+from tamarindfold.standins.counter import CounterStandinConfig  # noqa: E402
+from tamarindfold.standins.platform import (  # noqa: E402
     BackendConfig, DiscoveryConfig, PlatformBackend, PlatformCounter, PlatformDiscovery,
 )
 
-BACKENDS, CUSTOMERS = 9, 500
+BACKENDS, CUSTOMERS = 9, 2000
 SETTINGS: dict[str, Any] = {
     "balancers": 2, "index": 0, "quantum": 2.0, "zones": ["z"], "machine_types": ["m"], "locality": 0,
     "categories": [
@@ -72,7 +72,8 @@
 class Load:
     """Requests at a rate, on connections kept by each client."""
 
-    def __init__(self, address: tuple[str, int], rate: float, seconds: float, seed: int, fresh: float) -> None:
+    def __init__(self, address: tuple[str, int], rate: float, seconds: float, seed: int,
+                 fresh: float) -> None:
         self.address, self.rate, self.seconds, self.fresh = address, rate, seconds, fresh
         self.random, self.free = Random(seed), list[socket.socket]()
         self.statuses: Counter[int] = Counter()
@@ -121,7 +122,7 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--work-ms", type=float, default=80)
     parser.add_argument("--fresh", type=float, default=0.0, help="part of requests on new connections")
-    parser.add_argument("--wrap", nargs="*", default=[], help="words before the ingress's command (a profiler)")
+    parser.add_argument("--wrap", nargs="*", default=[], help="words before the command")
     parser.add_argument("--world", type=Path)
     args = parser.parse_args()
     listen = ("127.0.0.9", 19_000)
@@ -150,8 +151,9 @@
                 load, before = Load(listen, rate, args.seconds, turn + 1, args.fresh), _cpu_s(ingress.pid)
                 load.run()
                 spent, done = _cpu_s(ingress.pid) - before, sum(load.statuses.values())
-                print(f"{rate:6.0f}/s: {1e6 * spent / done:.0f} us CPU a request, {spent / args.seconds:.2f} of a "
-                      f"core, {_rss_mb(ingress.pid):.1f} MB, answers {dict(load.statuses)}")
+                print(f"{rate:6.0f}/s: {1e6 * spent / done:.0f} us CPU a request, "
+                      f"{spent / args.seconds:.2f} of a core, {_rss_mb(ingress.pid):.1f} MB, "
+                      f"answers {dict(load.statuses)}")
         finally:
             ingress.terminate()
             ingress.wait(10)
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -290,7 +290,8 @@
     def admit(self, now: float, call: Call, inside: bool, counted: bool = False) -> None:
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
-        backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
+        patience = self.patience(call.cls, event.cls) * (1.0 if inside else SPARE_PATIENCE)
+        backend = self.choose(now, call, patience)
         if backend is None:
             customer.debt -= event.units if counted else 0.0
             return self.refuse(now, call, Why.PRESSURE)
@@ -394,17 +395,21 @@
             there = ring[at:at + 1] == [entry.backend]
             ring[at:at + there] = [entry.backend] * ready
 
-    def patience(self, number: int) -> float:
+    def patience(self, cls: RequestClass, number: int) -> float:
         """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
-        classes = self.settings.classes
-        worth = [c.worth / ms for c, ms in zip(classes, self.unit_ms, strict=True)]
-        aim = min(c.aim_ms for c, w in zip(classes, worth, strict=True) if w >= worth[number])
-        return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth[number] / max(worth))
+        own = most = cls.worth / self.unit_ms[number]
+        aim = cls.aim_ms
+        for other, ms in zip(self.settings.classes, self.unit_ms, strict=True):
+            worth = other.worth / ms
+            if worth >= own:
+                most, aim = max(most, worth), min(aim, other.aim_ms)
+        return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * own / most)
 
     def pile(self, now: float, backend: Backend) -> float:
         """What stands there from here and a request more, as a warm backend of size one would feel it."""
-        able = self.mean_work * (backend.entry.size or 1) * backend.warmth(now, self.settings)
-        return 1 + backend.load / able
+        entry = backend.entry
+        warmth = backend.warmth(now, self.settings) if entry.up_since_ms else 1.0
+        return 1 + backend.load / (self.mean_work * (entry.size or 1) * warmth)
 
     def width(self, ready: int) -> int:
         """How many backends this gateway keeps to: each is kept to by NEAR gateways at least."""
@@ -417,9 +422,9 @@
         picked = range(width) if width <= LOOK else self.random.sample(range(width), LOOK)
         return [self.backends[ring[(start + i) % len(ring)]] for i in picked]
 
-    def forecast(self, now: float, backend: Backend, call: Call) -> float:
-        """Expected time of a send to this backend; silence bounds it from below."""
-        drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
+    def forecast(self, now: float, backend: Backend, call: Call, fleet: float) -> float:
+        """Expected time of a send to this backend; silence bounds it from below. fleet: its slowness now."""
+        drag = backend.slowness[call.event.cls].now(now, fleet)
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
         silent = now - max(sent_at, self.woke_at, backend.heard_at) - own
         return max(call.work * drag * self.pile(now, backend), silent)
@@ -437,13 +442,14 @@
 
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
         """The backend with the least expected delay, at random among near ties; None: refuse."""
-        near = [b for b in self.near(call) if self.cold_room(now, b, call.work)]
-        rated = [(self.forecast(now, b, call), b) for b in near if b not in call.tried or len(near) == 1]
+        fleet = self.slowness.now(now)  # one bad backend is no sign of a pressed fleet
+        near = [b for b in self.near(call) if not b.entry.up_since_ms or self.cold_room(now, b, call.work)]
+        rated = [(self.forecast(now, b, call, fleet), b) for b in near
+                 if b not in call.tried or len(near) == 1]
         if not rated:
             return None
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
-        fleet = self.slowness.now(now)  # one bad backend is no sign of a pressed fleet
         drag = min(fleet, best.slowness[call.event.cls].now(now, fleet))
         wait = drag * self.mean_work * self.pile(now, best)
         late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if patience < inf else 0.0
--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 
 from tamarindfold.http1.requests import Rejected, Request, RequestReader
+from tamarindfold.ingress.arrival import receive
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Failed, Final, Left
 from tamarindfold.ingress.timers import Timers
@@ -103,7 +104,7 @@
         self.ahead = False  # more came before the answer was written
         self.accepted_ms = front.clock()
         self.request = Request()
-        self.began_ms = 0.0  # when the first byte of the message now being read came
+        self.began_ms = self.came_ms = 0.0  # when the first, the last bytes of the message came
 
     def close(self) -> None:
         if self.watcher is not None:
@@ -175,7 +176,7 @@
                         return None
                     front.idle[self.sock] = began
                 try:
-                    data = self.sock.recv(65536)
+                    data, self.came_ms = receive(self.sock, 65536, front.clock)
                 except TimeoutError:
                     data = b""
                 if self.late and phase:
@@ -186,7 +187,7 @@
                     return None
                 if not phase:
                     front.idle.pop(self.sock, None)
-                    self.began_ms = front.clock()
+                    self.began_ms = self.came_ms
                 reader.feed(data)
                 if not reader.ready and (now_in := 2 if reader.in_body else 1) > phase:
                     phase = now_in
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from gevent import socket
 
 from tamarindfold.http1.responses import ResponseReader
+from tamarindfold.ingress.arrival import stamp
 
 
 class NoRoom(ConnectionRefusedError):
@@ -22,6 +24,7 @@
     sock: socket.socket
     reader: ResponseReader
     backend: int
+    idle_since_ms: float = 0.0
     idle_until_ms: float = 0.0
 
     def quiet(self) -> bool:
@@ -49,10 +52,12 @@
         self.open: dict[int, int] = {}  # connections by server, idle ones among them
         self.counts = dict.fromkeys(("opened", "reused", "found_closed", "at_limit"), 0)
 
-    def take(self, backend: int) -> Connection | None:
-        """An idle connection that is still good, the one used last first."""
+    def take(self, backend: int, idle_ms: float = math.inf) -> Connection | None:
+        """An idle connection that is still good, the one used last first; idle_ms: used so lately."""
         idle = self.idle.get(backend)
         while idle:
+            if idle[-1].idle_since_ms + idle_ms < self.clock():
+                return None  # the others are idle still longer
             connection = idle.pop()
             if self.clock() < connection.idle_until_ms and connection.quiet():
                 self.counts["reused"] += 1
@@ -78,6 +83,7 @@
                 sock.bind(self.source)
             sock.connect(address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stamp(sock)
             sock.settimeout(None)
         except BaseException:
             sock.close()
@@ -98,7 +104,8 @@
                 name, _, seconds = part.strip().partition(b"=")
                 if name == b"timeout" and seconds.isdigit():
                     stays_ms = min(stays_ms, int(seconds) * 1000 / 2)
-        connection.idle_until_ms = self.clock() + stays_ms
+        connection.idle_since_ms = self.clock()
+        connection.idle_until_ms = connection.idle_since_ms + stays_ms
         idle.append(connection)
 
     def close(self, connection: Connection) -> None:
--- a/tamarindfold/ingress/timers.py
+++ b/tamarindfold/ingress/timers.py
@@ -16,9 +16,9 @@
 class Timers:
     """Calls back when a time has come; the calls must not block."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], slot_ms: float = 4.0) -> None:
         self.clock = clock
-        self.wheel = TimerWheel(clock())
+        self.wheel = TimerWheel(clock(), slot_ms)
         self.some = Event()
         self.turned_at = clock()
         self._greenlet = gevent.spawn(self._turn)
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -14,6 +14,7 @@
 from gevent import socket
 
 from tamarindfold.http1.responses import BadResponse, ResponseReader
+from tamarindfold.ingress.arrival import receive
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Served
 from tamarindfold.ingress.pool import Connection, NoRoom, Pool
@@ -45,7 +46,7 @@
 class Attempt:
     """One Send of the module."""
 
-    __slots__ = ("backend", "connection", "cut", "entry", "exchange", "number", "until", "wrote")
+    __slots__ = ("backend", "came_ms", "connection", "cut", "entry", "exchange", "number", "until", "wrote")
 
     def __init__(self, exchange: Exchange, number: int, entry: BackendEntry | None, backend: int,
                  until: float) -> None:
@@ -53,6 +54,7 @@
         self.until = until
         self.connection: Connection | None = None
         self.wrote = False
+        self.came_ms = 0.0  # when the last bytes of its answer came
         self.cut: Outcome | None = None  # ended from here: its time is up, or the module called it off
 
     def end(self, how: Outcome) -> None:
@@ -71,8 +73,10 @@
 class Upstream:
     """Carries out Send and Cancel."""
 
-    def __init__(self, core: Core, pool: Pool, timers: Timers, peers: Peers,
-                 clock: Callable[[], float]) -> None:
+    def __init__(self, core: Core, pool: Pool, timers: Timers, peers: Peers, clock: Callable[[], float],
+                 unsafe_idle_ms: float = 0.0) -> None:
+        """unsafe_idle_ms: how lately a connection was used that what must not run twice may be sent on."""
+        self.unsafe_idle_ms = unsafe_idle_ms
         self.core, self.pool, self.timers, self.peers, self.clock = core, pool, timers, peers, clock
         self.unsafe = [cls.effect is Effect.UNSAFE for cls in core.gateway.settings.classes]
         self.running: dict[tuple[int, int], Attempt] = {}
@@ -121,8 +125,11 @@
                 units = self.peers.units(reader)
             report = self.peers.report(reader)
             self.pool.give_back(connection)
-        self.core.attempt_ended(exchange, attempt.number, attempt.backend, outcome, self.clock() - started,
-                                served, units, report)
+        ended = self.clock()
+        if attempt.cut is None and attempt.came_ms:  # this process may have read it late
+            ended = max(started, min(ended, attempt.came_ms))
+        self.core.attempt_ended(exchange, attempt.number, attempt.backend, outcome, ended - started, served,
+                                units, report)
 
     @staticmethod
     def _cut_short(attempt: Attempt, outcome: Outcome) -> Outcome:
@@ -149,7 +156,7 @@
             return Outcome.CONNECT_FAILED
         sock, reader = connection.sock, connection.reader
         while not reader.complete:
-            data = sock.recv(65536)
+            data, attempt.came_ms = receive(sock, 65536, self.clock)
             if data:
                 reader.feed(data)
             elif attempt.cut is not None or not reader.end():
@@ -157,16 +164,15 @@
         return self.peers.outcome(reader)
 
     def _connection(self, attempt: Attempt) -> Connection:
-        """An idle connection, but a new one for what must not run twice.
+        """An idle connection; for what must not run twice one that was used just now, or a new one.
 
         A server may close an idle connection in the very moment it is used again; whether it had read the
-        request by then nobody can tell. A new connection has no such moment.
+        request by then nobody can tell. A new connection has no such moment, and one used just now hardly.
         """
         backend = attempt.backend
-        if not self.unsafe[attempt.exchange.cls]:
-            idle = self.pool.take(backend)
-            if idle is not None:
-                return idle
+        idle = self.pool.take(backend, self.unsafe_idle_ms if self.unsafe[attempt.exchange.cls] else math.inf)
+        if idle is not None:
+            return idle
         address = self.peers.address(backend)
         if address is None:
             raise ConnectionRefusedError("the server is gone")
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -96,7 +96,7 @@
             front.counts["full"] += 1
             return front.words.final(Refused(FULL_MS, Why.PRESSURE), asked.name, self.keep)
         front.core.numbers = number = front.core.numbers + 1
-        deadline = front.clock() + asked.time_left_ms
+        deadline = self.came_ms + asked.time_left_ms
         return Exchange(
             number, asked.name, asked.cls, asked.customer, asked.plan, asked.units, asked.width, asked.retry,
             deadline, deadline - bounds.answer_margin_ms, request.method, request.target, [], request.body,
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -11,6 +11,7 @@
 
 from tamarindfold.choice import Gateway
 from tamarindfold.counter.driver import Counter
+from tamarindfold.ingress.arrival import stamp
 from tamarindfold.ingress.clock import SteadyClock
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.pool import Pool
@@ -27,7 +28,7 @@
 
 BACKLOG = 1024
 ACCEPT_AT_ONCE = 8  # few, so that room is made before more descriptors are taken
-FEEL_S, TIDY_EVERY, SLEW_EVERY = 0.025, 40, 40  # the beat, and beats between chores
+FEEL_S, TIDY_EVERY, SLEW_EVERY = 0.05, 20, 20  # the beat, and beats between chores
 KEPT_S, COME_S = 0.45, 0.7  # after SIGTERM: idle connections stay so long, and new ones are taken so long
 STOP_S = 30.0  # a stopping ingress waits no longer than this for what it holds
 
@@ -42,11 +43,12 @@
         self.limits = limits = budget(config.sockets, config.open_cap)
         self.core = Core(Gateway(settings, config.seed), clock, log, limits.stall_ms)
         self.book = AddressBook(config.zones, config.kinds)
-        self.pool = Pool(config.conn_idle_ms / 2, limits.idle_per_backend, limits.backend_connections,
+        self.pool = Pool(config.conn_idle_ms / 2, limits.backend_connections, limits.backend_connections,
                          config.dial_timeout_ms, "", limits.answer_bytes, clock, limits.backend_connections)
-        self.timers = Timers(clock)
+        self.timers = Timers(clock, limits.timer_slot_ms)
         self.core.sender = Upstream(self.core, self.pool, self.timers,
-                                    Backends(self.book.address, settings.report_fields), clock)
+                                    Backends(self.book.address, settings.report_fields), clock,
+                                    limits.unsafe_idle_ms)
         self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
         self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
         self.counter: Counter | None = None
@@ -70,6 +72,8 @@
         self.watch.start()
         self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
         self.listener.max_accept = ACCEPT_AT_ONCE
+        self.listener.init_socket()
+        stamp(self.listener.socket)
         self.listener.start()
         self.chores = [gevent.spawn(self._beat), gevent.spawn(self._tell_counts)]
         self.log("node.listening", clients=limits.connections, backends=limits.backend_connections)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -76,9 +76,9 @@
         class Counting(Gateway):
             seen = 0
 
-            def forecast(self, now, backend, call) -> float:
+            def forecast(self, now, backend, call, fleet) -> float:
                 Counting.seen += 1
-                return super().forecast(now, backend, call)
+                return super().forecast(now, backend, call, fleet)
 
         g = Counting(gateway(gateways=2).settings, 1)
         g.handle(START, fleet(*range(1, backends + 1)))
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -18,10 +18,10 @@
     g = gateway(1)
     sent(g, START, 1, left=6000)
     backend, call = g.backends[1], g.calls[1]
-    assert g.forecast(START + 3000, backend, call) == pytest.approx(3000 - call.work, abs=1)
+    assert g.forecast(START + 3000, backend, call, 1.0) == pytest.approx(3000 - call.work, abs=1)
     sent(g, START + 2800, 2)
     g.handle(START + 2900, ended(2, 1))
-    assert g.forecast(START + 3000, backend, call) < 1000
+    assert g.forecast(START + 3000, backend, call, 1.0) < 1000
 
 
 @pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.OK])
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -335,9 +335,9 @@
     gateway.handle(START, request(1))
     call = next(iter(gateway.calls.values()))
     backend = gateway.backends[1]
-    assert gateway.forecast(START + 3000, backend, call) > 2000
+    assert gateway.forecast(START + 3000, backend, call, 1.0) > 2000
     gateway.handle(START + 3000, StoodStill(3000.0))
-    assert gateway.forecast(START + 3000, backend, call) < 2000
+    assert gateway.forecast(START + 3000, backend, call, 1.0) < 2000
 
 
 def test_news_go_before_all_that_lay_there_after_a_standstill(rig, monkeypatch) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -171,7 +171,7 @@
     send = first_send(g, 1, UNSAFE)
     later = START + 2000
     late, idle = g.backends[send.backend], g.backends[3 - send.backend]
-    assert g.forecast(later, late, g.calls[1]) > 1000 > g.forecast(later, idle, g.calls[1])
+    assert g.forecast(later, late, g.calls[1], 1.0) > 1000 > g.forecast(later, idle, g.calls[1], 1.0)
 
 
 def test_sends_are_spread_over_equal_backends() -> None:
