The ingress over loopback sockets as tests: spoilt answers, bad clients, room, moves, signals

Change: tests/test_node.py against stand-ins of backends, discovery and counter with faults as settings; no change to the ingress.

--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,405 @@
+"""An ingress of the platform over loopback sockets, against stand-ins of all that is round it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+from rig import read_answer, wait_for
+from test_platform import CONFIG, GOOD, SETTINGS
+
+from tamarindfold.node import discovery as discovery_driver
+from tamarindfold.node.ingress import Node
+from tamarindfold.node.limits import RESERVE, budget
+from tamarindfold.platform import configuration
+from tamarindfold.standins.base import Fault
+from tamarindfold.standins.counter import CounterStandinConfig
+from tamarindfold.standins.platform import (
+    BackendConfig, DiscoveryConfig, PlatformBackend, PlatformCounter, PlatformDiscovery,
+)
+
+ROOT = Path(__file__).parent.parent
+PLANS = [{"name": "team", "per_second": 0.0, "peak_units": 0.0}, {"name": "small", "per_second": 1.0, "peak_units": 2.0}]
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+class World:
+    """Backends, discovery and counter, and an ingress among them."""
+
+    def __init__(self, backends: int = 2, faults: list[Fault] | None = None, **changes: Any) -> None:
+        self.backends = [PlatformBackend(BackendConfig(seed=i, faults=faults or [], **changes)) for i in range(backends)]
+        for backend in self.backends:
+            backend.start()
+        self.discovery = PlatformDiscovery(DiscoveryConfig(instances=[self.entry(i) for i in range(backends)]))
+        self.counter = PlatformCounter(CounterStandinConfig())
+        self.others: list[Any] = [self.discovery, self.counter]
+        for other in self.others:
+            other.start()
+        self.config = CONFIG | {
+            "listen": f"127.0.0.1:{free_port()}", "discovery": self.discovery.address, "counter": self.counter.address,
+            "settings": SETTINGS | {"plans": PLANS}}
+        self.logged: list[str] = []
+        self.node: Node | None = None
+        self.opened: list[socket.socket] = []
+        self.number = 0
+
+    def entry(self, i: int, **changes: Any) -> dict[str, Any]:
+        return {"instanceId": f"s-{i}", "hostPort": self.backends[i].address, "lifecycle": "active"} | changes
+
+    def run(self) -> Node:
+        self.node = Node(configuration.read(msgspec.json.encode(self.config)), lambda event, **_: self.logged.append(event))
+        self.node.start()
+        wait_for(lambda: self.node.core.fleet and self.node.counter.parts[0].pipeline.connected)
+        return self.node
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(self.node.config.listen, timeout=10)
+        self.opened.append(sock)
+        return sock
+
+    def text(self, cls: str = "quote", body: bytes = b"", **changes: str) -> bytes:
+        self.number += 1
+        headers = GOOD | {"X-Call-Id": f"{self.number:016x}", "X-Call-Class": cls, "X-Budget": "3.000"}
+        headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+        head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+        method, length = ("GET", "") if cls == "quote" else ("POST", f"Content-Length: {len(body)}\r\n")
+        return f"{method} /api?key=00000000b4d65521 HTTP/1.1\r\nHost: o\r\n{head}{length}\r\n".encode() + body
+
+    def ask(self, sock: socket.socket | None = None, **changes: Any) -> Any:
+        sock = sock or self.connect()
+        sock.sendall(self.text(**changes))
+        return read_answer(sock)
+
+    def came(self) -> list[dict[str, Any]]:
+        return [e for b in self.backends for e in b.ledger.of("came")]
+
+    def stop(self) -> None:
+        for sock in self.opened:
+            sock.close()
+        if self.node is not None:
+            self.node.listener.close()
+            gevent.killall(self.node.chores)
+            self.node.watch.stop()
+            self.node.counter.stop()
+            self.node.timers.stop()
+        for standin in [*self.backends, *self.others]:
+            standin.stop()
+
+
+@pytest.fixture
+def world() -> Iterator[Any]:
+    made: list[World] = []
+
+    def make(*args: Any, start: bool = True, **changes: Any) -> World:
+        made.append(World(*args, **changes))
+        if start:
+            made[-1].run()
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.stop()
+
+
+def fault(kind: str, **changes: Any) -> list[Fault]:
+    return [Fault(kind=kind, **changes)]
+
+
+def test_a_request_is_served_with_the_backends_body_and_passed_on_unchanged(world) -> None:
+    w = world()
+    sock = w.connect()
+    answer = w.ask(sock, cls="switch", body=b"\x00\xffbody")
+    assert (answer.status, answer.body) == (200, b"%016x" % 1)
+    assert w.ask(sock).status == 200
+    first = next(e for e in w.came() if e["method"] == "POST")
+    assert (first["id"], first["target"], first["body"]) == (f"{1:016x}", "/api?key=00000000b4d65521", "\x00\xffbody")
+    assert 0 < float(first["budget"]) <= 3
+
+
+def test_readiness_follows_the_list(world) -> None:
+    w = world()
+    sock = w.connect()
+    for known, status in ((True, 200), (False, 503)):
+        if not known:
+            w.node.core.fleet.clear()
+        sock.sendall(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert read_answer(sock).status == status
+
+
+def test_beyond_the_quota_the_refusal_comes_at_once_with_a_decimal_time(world) -> None:
+    w = world()
+    sock = w.connect()
+    answers = [w.ask(sock, X_Contract="small") for _ in range(6)]
+    refused = [a for a in answers if a.status == 429]
+    assert refused and all("." in a.headers["retry-after"] and float(a.headers["retry-after"]) > 0 for a in refused)
+
+
+@pytest.mark.parametrize("kind", ["noise", "bad_head", "two_lengths", "short", "endless", "huge", "error", "reset", "close"])
+def test_a_spoilt_answer_is_never_served_and_what_may_have_run_is_not_sent_again(world, kind) -> None:
+    w = world(faults=fault(kind))
+    short = {"X_Budget": "0.900", "X_Metering": "units=1,spread=3,first=1"} if kind == "short" else {}
+    assert w.ask(cls="switch", body=b"x", **short).status in (502, 504)
+    assert len(w.came()) == 1
+    assert w.ask(**short).status == 503  # safe: tried again as far as allowed, then refused
+    assert kind == "error" or not any(w.node.pool.idle.values())
+    assert len(w.came()) <= 1 + 3
+
+
+def test_a_turned_away_request_is_sent_again_even_if_it_must_not_run_twice(world) -> None:
+    w = world(faults=fault("turn_away", part=0.5))
+    sock = w.connect()
+    statuses = [w.ask(sock, cls="switch", body=b"x").status for _ in range(20)]
+    assert set(statuses) <= {200, 503} and statuses.count(200) > 10
+
+
+@pytest.mark.parametrize("kind", ["extra", "interim", "bad_report"])
+def test_a_good_answer_with_more_than_belongs_to_it_is_served(world, kind) -> None:
+    w = world(faults=fault(kind))
+    sock = w.connect()
+    for n in range(1, 6):
+        answer = w.ask(sock)
+        assert (answer.status, answer.body) == (200, b"%016x" % n)
+    if kind == "extra":
+        assert w.node.pool.counts["reused"] == 0
+
+
+def test_a_client_that_leaves_has_its_attempt_given_up(world) -> None:
+    w = world(1, work_ms=5_000.0)
+    sock = w.connect()
+    sock.sendall(w.text())
+    wait_for(lambda: w.came())
+    sock.close()
+    wait_for(lambda: w.node.upstream.counts["cancelled"] == 1 and not w.node.pool.held)
+    assert w.node.core.counts["left"] == 1 and not w.node.front.open_names
+
+
+def test_a_silent_backend_ends_with_the_clients_time(world) -> None:
+    w = world(faults=fault("silent"))
+    one = {"X_Budget": "0.900", "X_Metering": "units=1,spread=3,first=1"}
+    assert w.ask(cls="switch", body=b"x", **one).status == 504
+    assert w.ask(**one).status in (503, 504)
+
+
+@pytest.mark.parametrize("raw", [
+    b"what is this\r\n\r\n", b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 5000, b"\x16\x03\x01\x02\x00\x01\x00",
+    b"POST /api HTTP/1.1\r\nHost: o\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 4_000_000,
+    b"GET /api HTTP/1.1\r\nHost: o\r\n\r\n" * 300])
+def test_what_cannot_be_taken_gets_an_error_or_a_close(world, raw) -> None:
+    w = world()
+    sock = w.connect()
+    try:
+        sock.sendall(raw)
+        answer = sock.recv(65536)
+        assert answer == b"" or answer[9:10] == b"4"
+        while sock.recv(65536):
+            pass
+    except OSError:
+        pass  # a reset is a close
+    assert not w.came()
+
+
+def test_requests_ahead_of_an_answer_end_the_connection(world) -> None:
+    w = world()
+    sock = w.connect()
+    sock.sendall(w.text() + w.text())
+    assert read_answer(sock).status == 400 and not w.came()
+    w.backends[0].config = w.backends[1].config = BackendConfig(work_ms=100.0)
+    sock = w.connect()
+    sock.sendall(w.text())
+    wait_for(lambda: w.came())
+    sock.sendall(w.text())
+    assert read_answer(sock).status == 200 and sock.recv(100) == b""
+    assert len(w.came()) == 1
+
+
+def test_the_id_of_an_open_request_is_turned_away_until_that_is_answered(world) -> None:
+    w = world(work_ms=200.0)
+    first, second, third = w.connect(), w.connect(), w.connect()
+    data = w.text()
+    first.sendall(data)
+    wait_for(lambda: w.came())
+    second.sendall(data)
+    assert read_answer(second).status == 409
+    assert read_answer(first).status == 200
+    third.sendall(data)
+    assert read_answer(third).status == 200
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /api?key", b"POST /x HTTP/1.1\r\nHost: o\r\nContent-Length: 9\r\n\r\nabc"])
+def test_a_connection_that_brings_no_whole_request_is_closed_in_time(world, monkeypatch, sent) -> None:
+    monkeypatch.setattr("tamarindfold.node.ingress.budget", lambda *a: replace(budget(*a), first_ms=60.0))
+    w = world()
+    sock = w.connect()
+    sock.sendall(sent)
+    assert sock.recv(100)[9:12] in (b"", b"408")
+
+
+def test_room_is_made_by_closing_who_brought_nothing_first(world, monkeypatch) -> None:
+    monkeypatch.setattr("tamarindfold.node.ingress.budget", lambda *a: replace(budget(*a), connections=3))
+    w = world()
+    good = w.connect()
+    assert w.ask(good).status == 200
+    silent = [w.connect() for _ in range(2)]
+    wait_for(lambda: w.node.front.clients == 3)
+    assert w.ask().status == 200  # in the place of the oldest silent one
+    assert silent[0].recv(10) == b"" and w.node.front.counts["evicted"] == 1
+    assert w.ask(good).status == 200
+
+
+@pytest.mark.parametrize("sockets", [128, 256, 384, 1024])
+def test_the_budget_of_descriptors_holds_for_all(sockets) -> None:
+    limits = budget(sockets, 20_000)
+    assert limits.connections + limits.backend_connections + RESERVE <= sockets
+    assert limits.connections >= sockets / 3 and limits.backend_connections >= sockets / 4
+
+
+def test_nothing_new_goes_to_a_backend_that_leaves_and_its_connections_go_with_it(world) -> None:
+    w = world()
+    sock = w.connect()
+    for _ in range(8):
+        assert w.ask(sock).status == 200
+    w.discovery.change(w.entry(0, lifecycle="leaving"))
+    wait_for(lambda: w.node.book.generation == 42)
+    before = len(w.backends[0].ledger.of("came"))
+    assert [w.ask(sock).status for _ in range(8)] == [200] * 8
+    w.discovery.change(w.entry(0, lifecycle="left"))
+    wait_for(lambda: w.node.book.generation == 43)
+    assert len(w.backends[0].ledger.of("came")) == before
+    assert len(w.node.core.fleet) == len(w.node.book.entries) == 1
+
+
+def test_a_watch_that_falls_silent_or_makes_no_sense_is_replaced(world, monkeypatch) -> None:
+    monkeypatch.setattr(discovery_driver, "SILENT_S", 0.05)
+    monkeypatch.setattr(discovery_driver, "FIRST_S", 0.05)
+    w = world()
+    wait_for(lambda: w.node.watch.counts["watches"] >= 3)
+    assert w.discovery.asked[-1].endswith("from=41") and len(w.node.core.fleet) == 2
+    w.discovery.inject(Fault(kind="noise"))
+    wait_for(lambda: any(asked.endswith("from=0") for asked in w.discovery.asked))
+    w.discovery.clear()
+    w.discovery.change(w.entry(0, lifecycle="leaving"))
+    wait_for(lambda: w.node.book.generation == 42)
+    assert w.ask().status == 200
+
+
+def test_discovery_and_counter_move_without_a_lost_request(world) -> None:
+    w = world()
+    other = PlatformDiscovery(DiscoveryConfig(instances=[w.entry(0), w.entry(1)]))
+    other.generation = 50
+    counter = PlatformCounter(CounterStandinConfig())
+    w.others += [other, counter]
+    other.start()
+    counter.start()
+    sock = w.connect()
+    for turn in range(3):  # again and again, also to where it is already
+        w.node.move(*configuration.addresses(msgspec.json.encode(
+            w.config | {"discovery": other.address, "counter": counter.address})))
+        assert w.ask(sock, X_Contract="small").status in (200, 429), turn
+    wait_for(lambda: w.node.book.generation == 50 and w.node.counter.parts[0].pipeline.connected)
+    wait_for(lambda: len(counter.sockets) == 1 and not w.counter.sockets)
+    assert not w.node.watch.counts["lost"] > 2
+
+
+def test_spoilt_replies_of_the_counter_cost_a_connection_and_no_request(world) -> None:
+    w = world()
+    w.counter.inject(Fault(kind="spoilt"))
+    sock = w.connect()
+    statuses = {w.ask(sock, X_Contract="small").status for _ in range(12)}
+    assert statuses <= {200, 429}
+    wait_for(lambda: "counter.lost" in w.logged)
+    w.counter.clear()
+    wait_for(lambda: w.node.counter.parts[0].pipeline.connected)
+
+
+def test_stopping_answers_what_was_taken_and_what_still_comes(world) -> None:
+    w = world(work_ms=300.0)
+    early, idle = w.connect(), w.connect()
+    assert w.ask(idle).status == 200
+    early.sendall(w.text())
+    wait_for(lambda: len(w.came()) == 2)
+    stopping = gevent.spawn(w.node.stop)
+    gevent.sleep(0.01)
+    late = w.connect()
+    late.sendall(w.text())
+    answers = [read_answer(sock) for sock in (early, late)]
+    assert [a.status for a in answers] == [200, 200]
+    assert all(a.headers["connection"] == "close" for a in answers)
+    stopping.get(timeout=20)
+    assert idle.recv(10) == b"" and not w.node.front.clients
+    with pytest.raises(OSError):
+        w.connect()
+
+
+def test_no_table_grows_with_what_has_come_and_gone(world) -> None:
+    w = world()
+    for n in range(150):
+        w.discovery.change(w.entry(0, instanceId=f"g-{n}"), *([w.entry(0, instanceId=f"g-{n - 1}", lifecycle="left")] if n else []))
+        sock = w.connect()
+        assert w.ask(sock).status == 200
+        w.opened.pop().close()
+    wait_for(lambda: w.node.book.generation == 191 and not w.node.front.clients)
+    w.node.pool.tidy(w.node.core.fleet.__contains__)
+    sizes = w.node.counts()["sizes"]
+    assert sizes["backends"] == sizes["book"] == 3 and sizes["to_backends"] <= 8
+    assert not any(sizes[what] for what in ("clients", "idle", "silent", "held", "open", "calls"))
+    assert len(w.node.core.gateway.backends) == 3 and len(w.node.pool.open) <= 3
+
+
+# ---- the program
+
+
+def start(tmp_path: Path, text: bytes | None) -> subprocess.Popen[bytes]:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_bytes(text)
+    return subprocess.Popen([sys.executable, "-m", "tamarindfold.node"], cwd=ROOT, stderr=subprocess.PIPE,
+                            env=os.environ | {"RELAY_CONFIG": str(path)})
+
+
+@pytest.mark.parametrize("text", [None, b"{", b"{}", msgspec.json.encode(CONFIG | {"listen": "nowhere"}),
+                                  msgspec.json.encode(CONFIG | {"known": {"generation": "x"}})])
+def test_what_cannot_be_started_says_why_in_one_line(tmp_path, text) -> None:
+    process = start(tmp_path, text)
+    _, said = process.communicate(timeout=60)
+    assert process.returncode == 2 and said.count(b"\n") == 1 and said.startswith(b"tamarindfold.node: RELAY_CONFIG")
+
+
+def test_signals_in_service(tmp_path) -> None:
+    config = CONFIG | {"listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{free_port()}",
+                       "counter": f"127.0.0.1:{free_port()}"}
+    process = start(tmp_path, msgspec.json.encode(config))
+    said: list[bytes] = [process.stderr.readline()]
+    assert b"node.listening" in said[0]
+    (tmp_path / "config.json").write_bytes(b"{")
+    process.send_signal(signal.SIGHUP)
+    while b"node.configuration_unusable" not in said[-1]:
+        said.append(process.stderr.readline())
+    (tmp_path / "config.json").write_bytes(msgspec.json.encode(config | {"discovery": "127.0.0.1:1"}))
+    process.send_signal(signal.SIGHUP)
+    while b"node.moved" not in said[-1]:
+        said.append(process.stderr.readline())
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=60)
+    assert process.returncode == 0
+
+
+def test_it_loads_nothing_that_it_does_not_use() -> None:
+    code = ("import sys, tamarindfold.node.__main__; print(' '.join(m for m in sys.modules if m.split('.')[0] in "
+            "('structlog', 'yaml', 'google', 'cryptography', 'click', 'httpx', 'asyncio', 'netaddr')))")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == ""
