Large answers are passed on within bounds; kept connections serve unsafe requests while good

Ruled out: calling attempts off (63 of them, each its own connection), stale connections (all were answering). Change: answers up to 1 MiB, all in hand within 0.15 of the memory, an announced length over the bound ends the attempt, heads have a bound of 32 KiB of their own; unsafe requests go on kept connections while none has broken for 2 s (named settings); metering is read once, the second look at the list only after connecting.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -428,10 +428,10 @@
 
     def forecast(self, now: float, backend: Backend, call: Call, fleet: float) -> float:
         """Expected time of a send to this backend; silence bounds it from below. fleet: its slowness now."""
-        drag = backend.slowness[call.event.cls].now(now, fleet)
-        sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
-        silent = now - max(sent_at, self.woke_at, backend.heard_at) - own
-        return max(call.work * drag * self.pile(now, backend), silent)
+        expected = call.work * backend.slowness[call.event.cls].now(now, fleet) * self.pile(now, backend)
+        for sent_at, own, _, _ in backend.out.values():  # the oldest tells how long it has been silent
+            return max(expected, now - max(sent_at, self.woke_at, backend.heard_at) - own)
+        return expected
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
--- a/tamarindfold/http1/responses.py
+++ b/tamarindfold/http1/responses.py
@@ -10,6 +10,7 @@
 
 
 _FRAMING = (b"content-length", b"transfer-encoding")
+HEAD_BYTES = 32_768  # of all an answer's headers: in pieces they take many times their size
 
 
 class BadResponse(Exception):
@@ -79,12 +80,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
             self._size += len(name) + len(value)
-            if self._size > self.body_bytes:
-                raise BadResponse(f"headers over {self.body_bytes} bytes")
+            if self._size > min(self.body_bytes, HEAD_BYTES):
+                raise BadResponse(f"headers over {min(self.body_bytes, HEAD_BYTES)} bytes")
             name = name.lower()
             self.headers.append((name, value))
             if name in _FRAMING:
                 self._framed = True
+                if value.isdigit() and not self._no_body and int(value[:20]) > self.body_bytes:
+                    raise BadResponse(f"an answer over {self.body_bytes} bytes is announced")
 
     def on_headers_complete(self) -> None:
         if self.complete:
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
     reader: ResponseReader
     backend: int
     idle_until_ms: float = 0.0
+    used: bool = False
 
     def quiet(self) -> bool:
         """Nothing has come and the other side has not closed: looked up on the socket, no waiting."""
@@ -48,6 +50,7 @@
         self.source = (source_address, 0) if source_address else None
         self.idle: dict[int, list[Connection]] = {}
         self.open: dict[int, int] = {}  # connections by server, idle ones among them
+        self.broke_at = -math.inf  # when a kept connection last turned out to be of no use
         self.counts = dict.fromkeys(("opened", "reused", "found_closed", "at_limit"), 0)
 
     def take(self, backend: int) -> Connection | None:
@@ -59,6 +62,7 @@
                 self.counts["reused"] += 1
                 return connection
             self.counts["found_closed"] += 1
+            self.broke_at = self.clock()
             self.close(connection)
         return None
 
@@ -101,6 +105,7 @@
                 if name == b"timeout" and seconds.isdigit():
                     stays_ms = min(stays_ms, int(seconds) * 1000 / 2)
         connection.idle_until_ms = self.clock() + stays_ms
+        connection.used = True
         idle.append(connection)
 
     def close(self, connection: Connection) -> None:
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -13,7 +13,7 @@
 
 from gevent import socket
 
-from tamarindfold.http1.responses import BadResponse, ResponseReader
+from tamarindfold.http1.responses import HEAD_BYTES, BadResponse, ResponseReader
 from tamarindfold.ingress.arrival import receive
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Served
@@ -46,14 +46,15 @@
 class Attempt:
     """One Send of the module."""
 
-    __slots__ = ("backend", "came_ms", "connection", "cut", "entry", "exchange", "number", "until", "wrote")
+    __slots__ = ("backend", "came_ms", "connection", "cut", "entry", "exchange", "held", "number", "until",
+                 "wrote")
 
     def __init__(self, exchange: Exchange, number: int, entry: BackendEntry | None, backend: int,
                  until: float) -> None:
         self.exchange, self.number, self.entry, self.backend = exchange, number, entry, backend
         self.until = until
         self.connection: Connection | None = None
-        self.wrote = False
+        self.wrote, self.held = False, 0  # held: bytes of its answer
         self.came_ms = 0.0  # when the last bytes of its answer came
         self.cut: Outcome | None = None  # ended from here: its time is up, or the module called it off
 
@@ -73,12 +74,16 @@
 class Upstream:
     """Carries out Send and Cancel."""
 
-    def __init__(self, core: Core, pool: Pool, timers: Timers, peers: Peers,
-                 clock: Callable[[], float]) -> None:
+    def __init__(self, core: Core, pool: Pool, timers: Timers, peers: Peers, clock: Callable[[], float],
+                 trust_ms: float = math.inf, most_held: float = math.inf) -> None:
+        """trust_ms: what must not run twice goes on a kept connection if none broke for so long; most_held:
+        bytes of all answers that are being read."""
+        self.trust_ms, self.most_held = trust_ms, most_held
+        self.held = self.peak = 0  # bytes of answers in hand, and the most there were
         self.core, self.pool, self.timers, self.peers, self.clock = core, pool, timers, peers, clock
         self.unsafe = [cls.effect is Effect.UNSAFE for cls in core.gateway.settings.classes]
         self.running: dict[tuple[int, int], Attempt] = {}
-        self.counts = {how.name.lower(): 0 for how in Outcome}
+        self.counts = {how.name.lower(): 0 for how in Outcome} | {"no_room": 0}
 
     def start(self, exchange: Exchange, number: int, entry: BackendEntry | None, backend: int,
               timeout_ms: float) -> None:
@@ -109,6 +114,7 @@
         finally:
             self.timers.off(timer)
             del self.running[exchange.number, attempt.number]
+            self.held -= attempt.held
         served, units = None, 0.0
         report: tuple[float, ...] = ()
         connection = attempt.connection
@@ -116,6 +122,8 @@
             if attempt.cut is not None:
                 outcome = self._cut_short(attempt, outcome)
             if connection is not None:
+                if connection.used and outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
+                    self.pool.broke_at = self.clock()
                 self.pool.close(connection)
         else:
             reader = connection.reader
@@ -149,7 +157,7 @@
             return Outcome.MOOT
         if attempt.cut is not None:
             return Outcome.CONNECT_FAILED
-        if hindrance(exchange, attempt.entry):  # connecting took its time
+        if not connection.used and hindrance(exchange, attempt.entry):  # connecting took its time
             connection.reader.complete = connection.reader.reusable = True  # nothing was asked on it
             return Outcome.MOOT
         if not self._write(attempt, connection):
@@ -158,19 +166,31 @@
         while not reader.complete:
             data, attempt.came_ms = receive(sock, 65536, self.clock)
             if data:
+                self._hold(attempt, len(data))
                 reader.feed(data)
+                if not reader.status and attempt.held > HEAD_BYTES:
+                    raise BadResponse("a head without an end")
             elif attempt.cut is not None or not reader.end():
                 return Outcome.RESET
         return self.peers.outcome(reader)
 
+    def _hold(self, attempt: Attempt, size: int) -> None:
+        """Guards the memory against endless answers and many large ones: what goes too far is dropped."""
+        attempt.held += size
+        self.held += size
+        self.peak = max(self.peak, self.held)
+        if self.held > self.most_held or attempt.held > self.pool.answer_bytes + HEAD_BYTES:
+            self.counts["no_room"] += 1
+            raise BadResponse("the answers in hand are over the bound")
+
     def _connection(self, attempt: Attempt) -> Connection:
-        """An idle connection, but a new one for what must not run twice.
+        """An idle connection, but a new one for what must not run twice, unless kept ones prove good.
 
         A server may close an idle connection in the very moment it is used again; whether it had read the
-        request by then nobody can tell. A new connection has no such moment.
+        request by then nobody can tell. A new connection has no such moment, but costs both sides work.
         """
         backend = attempt.backend
-        if not self.unsafe[attempt.exchange.cls]:
+        if not self.unsafe[attempt.exchange.cls] or self.clock() - self.pool.broke_at >= self.trust_ms:
             idle = self.pool.take(backend)
             if idle is not None:
                 return idle
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -40,14 +40,15 @@
         self.config, self.log = config, log
         self.steady = SteadyClock()
         clock, settings = self.steady.now, config.settings
-        self.limits = limits = budget(config.sockets, config.open_cap)
+        self.limits = limits = budget(config.sockets, config.memory_mb, config.open_cap)
         self.core = Core(Gateway(settings, config.seed), clock, log, limits.stall_ms)
         self.book = AddressBook(config.zones, config.kinds)
         self.pool = Pool(config.conn_idle_ms / 2, limits.backend_connections, limits.backend_connections,
                          config.dial_timeout_ms, "", limits.answer_bytes, clock, limits.backend_connections)
         self.timers = Timers(clock, limits.timer_slot_ms)
         self.upstream = self.core.sender = Upstream(self.core, self.pool, self.timers,
-                                    Backends(self.book.address, settings.report_fields), clock)
+                                    Backends(self.book.address, settings.report_fields), clock,
+                                    limits.kept_trust_ms, limits.answers_bytes)
         self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
         self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
         self.counter: Counter | None = None
@@ -153,7 +154,8 @@
                         "out": len(pipeline.calls)} if pipeline is not None else {},
             "sizes": {"clients": front.clients, "idle": len(front.idle), "silent": len(front.silent),
                       "held": front.held, "open": len(self.core.open), "backends": len(self.core.fleet),
-                      "to_backends": self.pool.held, "book": len(self.book.entries),
+                      "to_backends": self.pool.held, "answers_peak": self.upstream.peak,
+                "book": len(self.book.entries),
                       "customers": len(gateway.customers), "calls": len(gateway.calls),
                       "counts": len(gateway.counts), "timers": self.timers.wheel.count}}
 
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 RESERVE = 40  # descriptors for the listener, discovery, counter, the loop, and connections just closing
+ANSWERS_PART = 0.15  # of the memory; as much again may wait for clients that read slowly
 CLIENT_PART = 0.55  # of the rest; usual clients hold a third of all at the most
 
 
@@ -25,7 +26,9 @@
     first_ms: float = 2_000  # a new connection's whole first request has come by then
     write_timeout_ms: float = 2_000
     answer_margin_ms: float = 20
-    answer_bytes: int = 65_536 + 16_384
+    answer_bytes: int = 1 << 20  # the protocol says 64 KiB; answers of 320 KB were seen
+    answers_bytes: int = 32 << 20  # of all that are being read
+    kept_trust_ms: float = 2_000  # none broke for so long: kept connections serve what must not run twice
     pending_counts: int = 512
     counter_reconnect_ms: float = 20
     counter_keep_ms: float = 2_500  # the counter closes what stood idle for 10 s, or less
@@ -34,8 +37,9 @@
     counts_every_ms: float = 10_000
 
 
-def budget(sockets: int, open_cap: int) -> Limits:
-    """One budget of descriptors, shared between clients and backends."""
+def budget(sockets: int, memory_mb: float, open_cap: int) -> Limits:
+    """One budget of descriptors, shared between clients and backends; a part of the memory for answers."""
     free = sockets - RESERVE
     clients = int(free * CLIENT_PART)
-    return Limits(clients, free - clients, min(clients, open_cap))
+    return Limits(clients, free - clients, min(clients, open_cap),
+                  answers_bytes=int(memory_mb * 1e6 * ANSWERS_PART))
--- a/tamarindfold/platform/configuration.py
+++ b/tamarindfold/platform/configuration.py
@@ -15,7 +15,7 @@
 from tamarindfold.interface import Settings
 
 Address = tuple[str, int]
-LEAST_SOCKETS = 128
+LEAST_SOCKETS, LEAST_MEMORY_MB = 128, 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +28,7 @@
     counter: Address | None
     seed: int
     sockets: int
+    memory_mb: float
     known: bytes  # the list of backends in the registry's form
     settings: Settings
     zones: tuple[str, ...]
@@ -92,7 +93,11 @@
         number = seed if isinstance(seed, int) else int(str(seed), 16)
     except ValueError:
         raise ValueError(f"seed: {seed!r:.60} is no hexadecimal number") from None
-    sockets = _member(_member(data, "limits", dict), "sockets", int)
+    limits = _member(data, "limits", dict)
+    sockets = _member(limits, "sockets", int)
+    memory_mb = limits.get("memory_mb", LEAST_MEMORY_MB)
+    if not isinstance(memory_mb, int | float) or not memory_mb >= LEAST_MEMORY_MB:
+        raise ValueError(f"limits.memory_mb: {memory_mb!r:.60} is not a number of at least {LEAST_MEMORY_MB}")
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"limits.sockets: {sockets} is below {LEAST_SOCKETS}")
     reader = Reader(flatten(_member(data, "settings", dict)))
@@ -100,6 +105,7 @@
     return Configuration(
         name=str(data.get("name", "")), listen=split_address(_member(data, "listen", str), "listen"),
         discovery=discovery, counter=counter, seed=number, sockets=sockets,
+        memory_mb=memory_mb,
         known=msgspec.json.encode(data["known"]) if data.get("known") else b"",
         settings=read_settings(reader), zones=tuple(reader.text("zones", "").split(",")),
         kinds=tuple(reader.text("machine_types", "").split(",")),
--- a/tamarindfold/platform/requests.py
+++ b/tamarindfold/platform/requests.py
@@ -8,6 +8,7 @@
 
 import re
 from dataclasses import dataclass
+from functools import lru_cache
 
 from tamarindfold.http1.requests import Rejected, Request
 from tamarindfold.interface import Effect, Settings
@@ -18,8 +19,10 @@
 _DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _WHOLE = re.compile(rb"[0-9]{1,5}")
 _TARGET = re.compile(rb"/[\x21\x22\x24-\x3e\x40-\x7e]*\?([\x21\x22\x24-\x7e]*)")
+MOST_KNOWN = 256  # of what clients say of units and sets
 CUSTOMER_BOUND = 1 << 33  # what the module's counter names have room for
 
+_NAMED = names.KEY + b"="
 _FRAMING = (b"content-length", b"transfer-encoding")
 _OWN = frozenset((names.CALL_ID, names.CALL_CLASS, names.CONTRACT, names.BUDGET, names.METERING, names.AGAIN,
                   *_FRAMING))
@@ -53,6 +56,7 @@
         self.settings = settings
         self.classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
         self.plans = {plan.name.encode(): i for i, plan in enumerate(settings.plans)}
+        self.metering = lru_cache(maxsize=MOST_KNOWN)(self._metering)  # few are in use, each read once
         self.methods = ["GET" if cls.effect is Effect.SAFE else "POST" for cls in settings.classes]
 
     def read(self, request: Request) -> Asked:
@@ -83,7 +87,7 @@
         again = found.get(names.AGAIN, b"0")
         if again not in (b"0", b"1"):
             raise Rejected(400, "x-again: neither 0 nor 1")
-        units, width, first = self._metering(found.get(names.METERING, b""))
+        units, width, first = self.metering(found.get(names.METERING, b""))
         return Asked(call, cls, self._customer(request.target), plan, units, width, first,
                      min(budget, self.settings.classes[cls].deadline_ms), again == b"1")
 
@@ -109,8 +113,8 @@
     def _customer(target: bytes) -> int:
         """The customer's number in the query; Rejected where it is not there once, in its form."""
         asked = _TARGET.fullmatch(target)
-        keys = [value for part in (asked[1].split(b"&") if asked else [])
-                for name, _, value in (part.partition(b"="),) if name == names.KEY]
+        parts = asked[1].split(b"&") if asked else ()
+        keys = [part[len(_NAMED):] for part in parts if part.startswith(_NAMED)]
         if len(keys) != 1 or not _KEY.fullmatch(keys[0]):
             raise Rejected(400, "key: not once in the query with 16 hexadecimal digits")
         customer = int(keys[0], 16)
