--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -156,6 +156,7 @@
                       "held": front.held, "open": len(self.core.open), "backends": len(self.core.fleet),
                       "to_backends": self.pool.held, "answers_peak": self.upstream.peak,
                       "book": len(self.book.entries), "customers": len(gateway.customers),
-                      "calls": len(gateway.calls), "counts": len(gateway.counts), "timers": self.timers.wheel.count}}
+                      "calls": len(gateway.calls), "counts": len(gateway.counts),
+                      "timers": self.timers.wheel.count}}
 
 
