--- /dev/null
+++ b/tamarindfold/links/__init__.py
@@ -0,0 +1,1 @@
+"""One connection that is kept to one address at a time."""
