The bound on an answer's head stands in its reader; work done twice is done once

Need: read once more, the change had a head's bound in Upstream, where only one user of the reader had it; the configuration was decoded twice at start; the address book was copied for each line; a front had its limits under two names; a default in node/limits.py was used by nobody. Change: http1/responses.py bounds a head that is still open (also behind interim answers, which is stricter than before); the rest is taken out. Behaviour else as before; a test for a line without an end.

--- a/tamarindfold/counter/driver.py
+++ b/tamarindfold/counter/driver.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Any
 
 import gevent
 import hiredis
@@ -13,6 +14,7 @@
 from tamarindfold.counter.pipeline import Dialect, Pipeline, part_of
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.interface import Count, CountAnswered
+from tamarindfold.links.link import Link
 
 CONNECT_S = 0.5
 MOST_PAUSE_S = 0.5  # between two tries to connect
@@ -24,26 +26,14 @@
     def __init__(self, address: tuple[str, int], pipeline: Pipeline, reconnect_ms: float,
                  clock: Callable[[], float], tell: Callable[[CountAnswered], None],
                  log: Callable[..., None], keep_ms: float) -> None:
-        self.address, self.pipeline = address, pipeline
-        self.backoff = Backoff(reconnect_ms / 1000, MOST_PAUSE_S)
-        self.hurry, self.written_at, self.keep_s = Event(), 0.0, keep_ms / 1000
+        self.pipeline, self.written_at, self.keep_s = pipeline, 0.0, keep_ms / 1000
+        self.link = Link(address, CONNECT_S, Backoff(reconnect_ms / 1000, MOST_PAUSE_S))
         self.clock, self.tell, self.log = clock, tell, log
-        self.sock: socket.socket | None = None
         self.out: list[bytes] = []
         self.to_write, self.to_watch = Event(), Event()
         chores = (self._read, self._write, self._watch, *([self._keep] if keep_ms else []))
         self.greenlets = [gevent.spawn(f) for f in chores]
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Go to another address at once; what was out may have been added."""
-        if address == self.address:
-            return
-        self.address = address
-        self.hurry.set()
-        if self.sock is not None:
-            with suppress(OSError):  # closed already
-                self.sock.shutdown(socket.SHUT_RDWR)
-
     def call(self, count: Count) -> None:
         made = self.pipeline.call(self.clock(), count)
         if isinstance(made, CountAnswered):
@@ -57,52 +47,46 @@
         self.written_at = self.clock()
         self.to_write.set()
 
-    def _lost(self, reason: str) -> None:
-        sock, self.sock = self.sock, None
-        if sock is not None:
-            sock.close()
-            self.log("counter.lost", part=self.address, reason=reason)
+    def _lost(self, reason: Exception | None) -> None:
+        """What was out may have been added."""
+        if self.pipeline.connected:
+            self.log("counter.lost", part=self.link.address, reason=str(reason or "closed"))
         self.out.clear()
         for answer in self.pipeline.lost(self.clock()):
             self.tell(answer)
 
     def _read(self) -> None:
-        while True:
-            self.hurry.clear()
-            reason = "closed"
-            try:
-                self._follow()
-            except (OSError, ValueError, hiredis.ProtocolError) as error:
-                reason = str(error)
-            self._lost(reason)
-            self.hurry.wait(self.backoff.failed())
-
-    def _follow(self) -> None:
-        """Connect, and hand on replies until the connection ends."""
-        address = self.address
-        sock = socket.create_connection(address, timeout=CONNECT_S)
-        if address != self.address:  # moved meanwhile
-            sock.close()
-            return
+        self.link.keep(self._follow, self._lost)
+
+    def _follow(self, sock: socket.socket) -> None:
+        """Hand on replies until the connection ends."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
         reader = hiredis.Reader()
-        self.sock, self.pipeline.connected, self.written_at = sock, True, self.clock()
-        self.log("counter.connected", part=address)
+        self.pipeline.connected, self.written_at = True, self.clock()
+        self.log("counter.connected", part=self.link.address)
         while data := sock.recv(65536):
             reader.feed(data)
-            while (value := reader.gets()) is not False:
+            while (value := self._value(reader)) is not False:
                 for answer in self.pipeline.replies(self.clock(), (value,)):
                     self.tell(answer)
                 if self.pipeline.spoilt:
                     raise ValueError("a reply that makes no sense")
-            self.backoff.well()
+            self.link.backoff.well()
+
+    @staticmethod
+    def _value(reader: Any) -> Any:
+        """The next reply, False where none is whole yet; ValueError where the bytes are no reply."""
+        try:
+            return reader.gets()
+        except hiredis.ProtocolError as error:
+            raise ValueError(str(error)) from None
 
     def _keep(self) -> None:
         """Guards against idle closes, which the next call would pay for."""
         while True:
             gevent.sleep(self.keep_s / 2)
-            if self.sock is not None and self.clock() - self.written_at >= self.keep_s * 1000:
+            if self.link.sock is not None and self.clock() - self.written_at >= self.keep_s * 1000:
                 self._send(self.pipeline.ping(self.clock()))
 
     def _write(self) -> None:
@@ -110,9 +94,9 @@
             self.to_write.wait()
             self.to_write.clear()
             data, self.out[:] = b"".join(self.out), []
-            if self.sock is not None and data:
+            if self.link.sock is not None and data:
                 with suppress(OSError):  # the reader sees the same end and tells of it
-                    self.sock.sendall(data)
+                    self.link.sock.sendall(data)
 
     def _watch(self) -> None:
         while True:
@@ -125,8 +109,8 @@
             now = self.clock()
             for answer in self.pipeline.due(now):
                 self.tell(answer)
-            if self.pipeline.stuck(now) and self.sock is not None:
-                self.sock.shutdown(socket.SHUT_RDWR)  # the reader takes it from there
+            if self.pipeline.stuck(now):
+                self.link.cut()  # the reader takes it from there
 
 
 class Counter:
@@ -144,7 +128,7 @@
     def move(self, addresses: list[tuple[str, int]]) -> None:
         """The same parts are reached elsewhere from now on."""
         for part, address in zip(self.parts, addresses, strict=True):
-            part.move(address)
+            part.link.move(address)
 
     def call(self, count: Count) -> None:
         """Make one call; its one answer is told later, or at once where it can't be made."""
@@ -154,5 +138,3 @@
         """Close all connections."""
         for part in self.parts:
             gevent.killall(part.greenlets)
-            if part.sock is not None:
-                part.sock.close()
--- a/tamarindfold/http1/responses.py
+++ b/tamarindfold/http1/responses.py
@@ -31,7 +31,7 @@
         self.headers: Headers = []
         self.complete = self.reusable = self.started = False
         self.excess = False  # bytes beyond the answer: the connection is not to be used again
-        self._no_body, self._framed, self._size = no_body, False, 0
+        self._no_body, self._framed, self._size, self._fed = no_body, False, 0, 0
         self._parts: list[bytes] = []
 
     @property
@@ -45,12 +45,15 @@
         if self.complete:
             self.excess = True
             return
+        self._fed += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.complete:
                 raise BadResponse(str(error)) from None
             self.excess = True
+        if self.status < 200 and self._fed > HEAD_BYTES:  # one line without an end is told to nobody here
+            raise BadResponse(f"no head within {HEAD_BYTES} bytes")
 
     def read(self, receive: Callable[[int], bytes]) -> None:
         """Feed from receive until the answer is whole; ConnectionResetError where it ends before."""
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -168,8 +168,6 @@
             if data:
                 self._hold(attempt, len(data))
                 reader.feed(data)
-                if not reader.status and attempt.held > HEAD_BYTES:
-                    raise BadResponse("a head without an end")
             elif attempt.cut is not None or not reader.end():
                 return Outcome.RESET
         return self.peers.outcome(reader)
--- a/tamarindfold/node/discovery.py
+++ b/tamarindfold/node/discovery.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import suppress
 
 import gevent
 from gevent import socket
-from gevent.event import Event
 
 from tamarindfold.ds.backoff import Backoff
+from tamarindfold.links.link import Link
 from tamarindfold.platform import names
 from tamarindfold.platform.registry import WatchReader
 
@@ -24,10 +23,8 @@
 
     def __init__(self, address: tuple[str, int], generation: Callable[[], int], take: Callable[[bytes], None],
                  log: Callable[..., None]) -> None:
-        self.address, self.generation, self.take, self.log = address, generation, take, log
-        self.backoff = Backoff(LEAST_PAUSE_S, MOST_PAUSE_S)
-        self.hurry = Event()
-        self.sock: socket.socket | None = None
+        self.generation, self.take, self.log = generation, take, log
+        self.link = Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S))
         self.counts = dict.fromkeys(("watches", "lines", "lost"), 0)
         self._whole = False  # the list must be told anew
         self._greenlet: gevent.Greenlet | None = None
@@ -43,40 +40,19 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Follow another agent at once."""
-        if address == self.address:
-            return
-        self.address = address
-        self.hurry.set()
-        if self.sock is not None:
-            with suppress(OSError):  # closed already
-                self.sock.shutdown(socket.SHUT_RDWR)
+        self.link.move(address)
 
     def _run(self) -> None:
-        while True:
-            self.hurry.clear()
-            reason = "ended"
-            try:
-                self._follow()
-            except ValueError as error:
-                reason, self._whole = str(error), True
-            except OSError as error:
-                reason = str(error)
-            self.counts["lost"] += 1
-            self.log("fleet.watch_lost", reason=reason, generation=self.generation())
-            self.hurry.wait(self.backoff.failed())
+        self.link.keep(self._read, self._lost)
 
-    def _follow(self) -> None:
-        address = self.address
-        with socket.create_connection(address, CONNECT_S) as sock:
-            if address != self.address:  # moved meanwhile
-                return
-            self.sock = sock
-            try:
-                self._read(sock, f"{address[0]}:{address[1]}".encode())
-            finally:
-                self.sock = None
+    def _lost(self, reason: Exception | None) -> None:
+        if isinstance(reason, ValueError):
+            self._whole = True
+        self.counts["lost"] += 1
+        self.log("fleet.watch_lost", reason=str(reason or "ended"), generation=self.generation())
 
-    def _read(self, sock: socket.socket, host: bytes) -> None:
+    def _read(self, sock: socket.socket) -> None:
+        host = "{}:{}".format(*self.link.address).encode()
         since = 0 if self._whole else self.generation()
         sock.sendall(b"GET %s?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\n\r\n" % (names.INSTANCES, since, host))
         self.counts["watches"] += 1
@@ -90,5 +66,5 @@
                 self.take(line)
                 self.counts["lines"] += 1
                 self._whole = False
-                self.backoff.well()
+                self.link.backoff.well()
                 sock.settimeout(SILENT_S)
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -23,11 +23,13 @@
 class PlatformFront(Listener):
     """Serves the platform's clients within a budget of connections."""
 
+    limits: Limits
+
     def __init__(self, limits: Limits, core: Core, timers: Timers, clock: Callable[[], float],
                  log: Callable[..., None], why_not_ready: Callable[[], str]) -> None:
         settings = core.gateway.settings
         super().__init__(limits, core, PlatformWords(settings.retry_after), timers, clock, log)
-        self.bounds, self.why_not_ready = limits, why_not_ready
+        self.why_not_ready = why_not_ready
         self.admission = Admission(settings)
         self.connection = PlatformConnection
         self.clients = 0
@@ -37,7 +39,7 @@
 
     def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """One client connection, if there is room or room can be made."""
-        if self.clients >= self.bounds.connections and not self._make_room():
+        if self.clients >= self.limits.connections and not self._make_room():
             self.counts["no_room"] += 1
             sock.close()
             return
@@ -54,7 +56,7 @@
         victim = next(iter(self.silent), None)
         if victim is None:
             victim, since = next(iter(self.idle.items()), (None, 0.0))
-            if victim is None or self.clock() - since < self.bounds.idle_least_ms:
+            if victim is None or self.clock() - since < self.limits.idle_least_ms:
                 return False
         self.counts["evicted"] += 1
         self.silent.pop(victim, None)
@@ -67,13 +69,14 @@
     """A connection of the platform's clients: one request at a time."""
 
     front: PlatformFront
+    limits: Limits
 
     def phase_ms(self, phase: int) -> float:
         """A connection's first request has a bound as a whole, or trickling bytes would hold it open."""
         allowed = super().phase_ms(phase)
         if not self.answered:
             gone = self.front.clock() - self.accepted_ms
-            allowed = min(allowed, max(0.0, self.front.bounds.first_ms - gone))
+            allowed = min(allowed, max(0.0, self.limits.first_ms - gone))
         return allowed
 
     @property
@@ -82,7 +85,7 @@
         return super().keep and not self.ahead
 
     def _enter(self, request: Request, peer: str) -> Exchange | bytes:
-        front, bounds = self.front, self.front.bounds
+        front, limits = self.front, self.limits
         if request.target == names.READY and request.method == "GET":
             return words.ready(front.why_not_ready(), self.keep)
         if self.reader.ready or self.reader.in_message:
@@ -92,14 +95,14 @@
         if asked.name in front.open_names:
             raise Rejected(409, "x-call-id: of a request that is open")
         front.silent.pop(self.sock, None)
-        if len(front.core.open) >= bounds.open_requests:
+        if len(front.core.open) >= limits.open_requests:
             front.counts["full"] += 1
             return front.words.final(Refused(FULL_MS, Why.PRESSURE), asked.name, self.keep)
         front.core.numbers = number = front.core.numbers + 1
         deadline = self.came_ms + asked.time_left_ms
         return Exchange(
             number, asked.name, asked.cls, asked.customer, asked.plan, asked.units, asked.width, asked.retry,
-            deadline, deadline - bounds.answer_margin_ms, request.method, request.target, [], request.body,
+            deadline, deadline - limits.answer_margin_ms, request.method, request.target, [], request.body,
             first=asked.first)
 
     def _decided(self, exchange: Exchange) -> bytes:
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -46,9 +46,9 @@
         self.pool = Pool(config.conn_idle_ms / 2, limits.backend_connections, limits.backend_connections,
                          config.dial_timeout_ms, "", limits.answer_bytes, clock, limits.backend_connections)
         self.timers = Timers(clock, limits.timer_slot_ms)
-        self.upstream = self.core.sender = Upstream(self.core, self.pool, self.timers,
-                                    Backends(self.book.address, settings.report_fields), clock,
-                                    limits.kept_trust_ms, limits.answers_bytes)
+        self.upstream = self.core.sender = Upstream(
+            self.core, self.pool, self.timers, Backends(self.book.address, settings.report_fields), clock,
+            limits.kept_trust_ms, limits.answers_bytes)
         self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
         self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
         self.counter: Counter | None = None
@@ -158,5 +158,3 @@
                       "book": len(self.book.entries), "customers": len(gateway.customers),
                       "calls": len(gateway.calls), "counts": len(gateway.counts),
                       "timers": self.timers.wheel.count}}
-
-
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -16,6 +16,7 @@
     connections: int  # of clients
     backend_connections: int
     open_requests: int
+    answers_bytes: int  # of all answers that are being read
     header_bytes: int = 16_384
     header_count: int = 64
     header_timeout_ms: float = 2_000
@@ -27,7 +28,6 @@
     write_timeout_ms: float = 2_000
     answer_margin_ms: float = 20
     answer_bytes: int = 1 << 20  # the protocol says 64 KiB; answers of 320 KB were seen
-    answers_bytes: int = 32 << 20  # of all that are being read
     kept_trust_ms: float = 2_000  # none broke for so long: kept connections serve what must not run twice
     pending_counts: int = 512
     counter_reconnect_ms: float = 20
@@ -41,5 +41,4 @@
     """One budget of descriptors, shared between clients and backends; a part of the memory for answers."""
     free = sockets - RESERVE
     clients = int(free * CLIENT_PART)
-    return Limits(clients, free - clients, min(clients, open_cap),
-                  answers_bytes=int(memory_mb * 1e6 * ANSWERS_PART))
+    return Limits(clients, free - clients, min(clients, open_cap), int(memory_mb * 1e6 * ANSWERS_PART))
--- a/tamarindfold/platform/configuration.py
+++ b/tamarindfold/platform/configuration.py
@@ -69,7 +69,10 @@
 
 def addresses(text: bytes) -> tuple[Address, Address | None]:
     """Discovery and counter alone, for a configuration that was replaced; ValueError."""
-    data = _decode(text)
+    return _addresses(_decode(text))
+
+
+def _addresses(data: dict[str, Any]) -> tuple[Address, Address | None]:
     counter = data.get("counter")
     return (split_address(_member(data, "discovery", str), "discovery"),
             split_address(counter, "counter") if counter else None)
@@ -101,11 +104,10 @@
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"limits.sockets: {sockets} is below {LEAST_SOCKETS}")
     reader = Reader(flatten(_member(data, "settings", dict)))
-    discovery, counter = addresses(text)
+    discovery, counter = _addresses(data)
     return Configuration(
         name=str(data.get("name", "")), listen=split_address(_member(data, "listen", str), "listen"),
-        discovery=discovery, counter=counter, seed=number, sockets=sockets,
-        memory_mb=memory_mb,
+        discovery=discovery, counter=counter, seed=number, sockets=sockets, memory_mb=memory_mb,
         known=msgspec.json.encode(data["known"]) if data.get("known") else b"",
         settings=read_settings(reader), zones=tuple(reader.text("zones", "").split(",")),
         kinds=tuple(reader.text("machine_types", "").split(",")),
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -70,7 +70,6 @@
                  split_address(one.hostPort, "registry: hostPort") if one.lifecycle != "left" else ("", 0))
                 for one in told.instances]
         entries, moved = [], []
-        before = dict(self.entries)
         if told.reset:
             named = {one.instanceId for one, *_ in read}
             moved += [self._forget(name) for name in [n for n in self.numbers if n not in named]]
@@ -79,7 +78,7 @@
                 continue  # nothing is known of it
             number = self._number(one.instanceId)
             now = (one.instanceId, address, one.startedAtMs)
-            if before.get(number, now) != now and state is not BackendState.GONE:
+            if self.entries.get(number, now) != now and state is not BackendState.GONE:
                 moved.append(number)
             self.entries[number] = now
             if state is BackendState.GONE:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -438,3 +438,31 @@
             "('structlog', 'yaml', 'google', 'cryptography', 'click', 'httpx', 'asyncio', 'netaddr')))")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == ""
+
+
+def test_a_link_moves_while_it_connects_reads_or_pauses_and_tells_each_end() -> None:
+    from tamarindfold.ds.backoff import Backoff
+    from tamarindfold.links.link import Link
+
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    addresses = [listener.getsockname() for listener in listeners]
+    read: list[tuple[str, int]] = []
+    ends: list[Exception | None] = []
+
+    def reading(sock: socket.socket) -> None:
+        read.append(sock.getpeername())
+        if sock.recv(10):
+            raise ValueError("no sense")
+
+    link = Link(("127.0.0.1", free_port()), 5.0, Backoff(3600.0, 3600.0))
+    greenlet = gevent.spawn(link.keep, reading, ends.append)
+    wait_for(lambda: len(ends) == 2)  # refused twice: now it pauses
+    for address in addresses:
+        link.move(address)
+        wait_for(lambda: link.sock is not None and read[-1] == address)  # noqa: B023
+    listeners[2].accept()[0].sendall(b"noise")
+    wait_for(lambda: isinstance(ends[-1], ValueError))
+    assert read == addresses and link.sock is None
+    greenlet.kill()
+    for listener in listeners:
+        listener.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -166,6 +166,15 @@
     assert len(reader.body) <= 200
 
 
+@pytest.mark.parametrize("start", [b"HTTP/1.1 200 OK\r\nX-Long: ", b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Long: "])
+def test_a_head_of_one_line_without_an_end_is_bounded(start) -> None:
+    reader = ResponseReader(1 << 20)
+    reader.feed(start)
+    with pytest.raises(BadResponse, match="head"):
+        for _ in range(40):
+            reader.feed(b"x" * 1024)
+
+
 def test_an_attempt_passes_on_what_must_be_unchanged() -> None:
     data = backends.attempt("POST", b"/api?key=00000000b4d65521", b"9b1f", b"body", 480.4)
     head, _, body = data.partition(b"\r\n\r\n")
