A starting gateway listens once it has heard what became of the list it starts with

An ingress that was killed takes `known` from before the kill, opens its listener, and clients that waited reach it at once; the watch's first line, which says who left meanwhile, was read 3 ms after the first two sends. At fault: node/ingress.py, Node.start: the watch was started and not waited for; ingress/server.py did the same with its saved list and its feed. Change: the watch is started before the counter and the listener, and the listener opens with the watch's first line, or after first_list_ms (1.5 s) without one, which is logged; `serve` does so where a saved list is at hand (fleet.first_list_ms).

--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -230,6 +230,7 @@
     static: list[Server] = []
     feed: str = ""
     reconnect_ms: MsAboveNought = 500
+    first_list_ms: Ms = 1_500  # at start, with a saved list at hand: so long the feed's first line is awaited
 
 
 class Safety(Section, frozen=True):
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -135,6 +135,9 @@
                 self._state_file("fleet", "json"), self.core.fleet_news, self.log,
                 config.upstream.source_address)
             self.feed.start()
+            # Guards against sends by a saved list: what left it meanwhile was told to an earlier life.
+            if self.core.fleet and not self.feed.heard.wait(config.fleet.first_list_ms / 1000):
+                self.log("fleet.first_line_awaited_in_vain")
         if self.identity is not None:
             self.identity.start()
         else:
--- a/tamarindfold/membership/driver.py
+++ b/tamarindfold/membership/driver.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from tamarindfold.ds.durable import replace
 from tamarindfold.interface import FleetUpdate, ListKind
@@ -26,6 +27,7 @@
         self.tell, self.log = tell, log
         self.source = (source_address, 0) if source_address else None
         self.fleet = FleetList()
+        self.heard = Event()  # set from the feed's first line on: the saved list may be out of date
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -63,6 +65,7 @@
                 for line in lines:
                     self.tell(self.fleet.take(line))
                 if lines:
+                    self.heard.set()
                     self._save()
                 if len(rest) > LINE_BYTES:
                     raise ValueError("feed: a line without an end")
--- a/tamarindfold/node/discovery.py
+++ b/tamarindfold/node/discovery.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.links.link import Link
@@ -27,6 +28,7 @@
         self.link = Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S))
         self.counts = dict.fromkeys(("watches", "lines", "lost"), 0)
         self._whole = False  # the list must be told anew
+        self.heard = Event()  # set from the first line on: what was known before it may be out of date
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -66,5 +68,6 @@
                 self.take(line)
                 self.counts["lines"] += 1
                 self._whole = False
+                self.heard.set()
                 self.link.backoff.well()
                 sock.settimeout(SILENT_S)
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -64,12 +64,15 @@
         config, limits = self.config, self.limits
         if config.known:
             self._told(config.known, ListKind.CACHED)
+        self.watch.start()
         if config.counter is not None and config.settings.counter:
             self.counter = Counter([config.counter], config.settings.counter_timeout_ms,
                                    limits.pending_counts, AddGet(), limits.counter_reconnect_ms,
                                    self.steady.now, self.core.counted, self.log, limits.counter_keep_ms)
             self.core.count = self.counter.call
-        self.watch.start()
+        # Guards against sends by a list from before a restart: clients come as soon as this listens.
+        if not self.watch.heard.wait(limits.first_list_ms / 1000):
+            self.log("fleet.first_line_awaited_in_vain", generation=self.book.generation)
         self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
         self.listener.max_accept = ACCEPT_AT_ONCE
         self.listener.init_socket()
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -35,6 +35,7 @@
     stall_ms: float = 300
     timer_slot_ms: float = 10  # the wheel turns a hundred times a second while a time-out is set
     counts_every_ms: float = 10_000
+    first_list_ms: float = 1_500  # at start: so long the news since the list at hand is awaited
 
 
 def budget(sockets: int, memory_mb: float, open_cap: int) -> Limits:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -17,6 +17,8 @@
 from rig import wait_for
 
 from tamarindfold import Gateway
+from tamarindfold.config.addresses import split_address
+from tamarindfold.config.derive import backend_id
 from tamarindfold.ds.durable import Replacement, frame, frames, replace as put
 from tamarindfold.ds.scheduler import Job, Scheduler
 from tamarindfold.interface import (
@@ -313,6 +315,18 @@
     assert header.last and len(rows) == 1
 
 
+@pytest.mark.parametrize("away", [False, True])
+def test_a_restarted_gateway_listens_once_the_feed_has_told_what_became_of_its_saved_list(rig, tmp_path, away) -> None:
+    instance = {"state_dir": str(tmp_path)}
+    first = rig(instance=instance)
+    first.ingress.stop()
+    lost = {"feed": "127.0.0.1:9", "first_list_ms": 20} if away else {"first_list_ms": 60_000}
+    second = rig(instance=instance, fleet=lost)  # other servers
+    named = {backend_id(*split_address(server.address, "")) for server in (first if away else second).servers}
+    assert set(second.ingress.core.fleet) == named
+    assert any(event == "fleet.first_line_awaited_in_vain" for event, _ in second.logged) is away
+
+
 # ---- standing still
 
 
