An answer ends its connection where many idle ones keep other clients out

Whoever had no connection of its own could open none. Excluded: evictions (a probe peeked into each of some 4,000 closed sockets: none held an unread request, all were silent ones); quota and pressure (the log has a tenth of the refusals); CPU. Closing what is idle for 2.5 s could not help: next to nothing stood idle for longer. At fault: node/front.py, PlatformConnection.keep: every connection was kept, whatever was kept already. Change: while known clients' idle connections are as many as a sixth of the descriptors (kept_idle), answers say `Connection: close`; silent connections do not count, since those are closed for room. Counted as front.not_kept. The test fails without the change.

--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -35,7 +35,7 @@
         self.clients = 0
         self.silent: dict[socket.socket, None] = {}  # connections that have not yet brought a good request
         self.open_names: set[bytes] = set()
-        self.counts |= dict.fromkeys(("evicted", "no_room", "ahead"), 0)
+        self.counts |= dict.fromkeys(("evicted", "no_room", "ahead", "not_kept"), 0)
 
     def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """One client connection, if there is room or room can be made."""
@@ -51,6 +51,11 @@
             self.silent.pop(sock, None)
             self.clients -= 1
 
+    @property
+    def known_idle(self) -> int:
+        """Connections that brought good requests and stand idle; silent ones are closed for room."""
+        return len(self.idle) - len(self.silent)
+
     def _make_room(self) -> bool:
         """Close the oldest connection that brought nothing, or else the one idle longest."""
         victim = next(iter(self.silent), None)
@@ -81,8 +86,11 @@
 
     @property
     def keep(self) -> bool:
-        """Who sends the next request before the answer does not keep to the protocol."""
-        return super().keep and not self.ahead
+        """Who sends the next request before the answer does not keep to the protocol.
+
+        Guards against idle connections that use up what clients may hold: nobody else could ask any more.
+        """
+        return super().keep and not self.ahead and self.front.known_idle < self.limits.kept_idle
 
     def _enter(self, request: Request, peer: str) -> Exchange | bytes:
         front, limits = self.front, self.limits
@@ -112,3 +120,4 @@
             return super()._decided(exchange)
         finally:
             open_names.discard(exchange.name)
+            self.front.counts["not_kept"] += self.front.known_idle >= self.limits.kept_idle
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -6,6 +6,7 @@
 
 RESERVE = 40  # descriptors for the listener, discovery, counter, the loop, and connections just closing
 ANSWERS_PART = 0.15  # of the memory; as much again may wait for clients that read slowly
+KEPT_PART = 1 / 6  # of all, for idle connections of clients: half of what usual clients may hold
 CLIENT_PART = 0.55  # of the rest; usual clients hold a third of all at the most
 
 
@@ -35,6 +36,7 @@
     stall_ms: float = 300
     timer_slot_ms: float = 10  # the wheel turns a hundred times a second while a time-out is set
     counts_every_ms: float = 10_000
+    kept_idle: int = 64  # with so many idle connections of clients, an answer ends its own
     first_list_ms: float = 1_500  # at start: so long the news since the list at hand is awaited
 
 
@@ -42,4 +44,5 @@
     """One budget of descriptors, shared between clients and backends; a part of the memory for answers."""
     free = sockets - RESERVE
     clients = int(free * CLIENT_PART)
-    return Limits(clients, free - clients, min(clients, open_cap), int(memory_mb * 1e6 * ANSWERS_PART))
+    return Limits(clients, free - clients, min(clients, open_cap), int(memory_mb * 1e6 * ANSWERS_PART),
+                  kept_idle=int(sockets * KEPT_PART))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -296,11 +296,29 @@
     assert w.ask(good).status == 200
 
 
+def test_many_idle_connections_do_not_keep_other_clients_out(world, monkeypatch) -> None:
+    """rd80215: 126 idle connections were all that clients may hold, and two tries in three never came."""
+    monkeypatch.setattr("tamarindfold.node.ingress.budget", lambda *a: replace(budget(*a), kept_idle=2))
+    w = world()
+    socks = [w.connect() for _ in range(3)]
+    kept = [w.ask(sock) for sock in socks[:2]]
+    wait_for(lambda: w.node.front.known_idle == 2)
+    silent = w.connect()
+    last = w.ask(socks[2])
+    assert [a.status for a in (*kept, last)] == [200] * 3
+    assert [a.headers.get("connection") for a in (*kept, last)] == [None, None, "close"]
+    assert socks[2].recv(10) == b"" and w.node.front.counts["not_kept"] == 1
+    silent.close()
+    socks[0].close()
+    wait_for(lambda: w.node.front.known_idle == 1)
+    assert "connection" not in w.ask(w.connect()).headers
+
+
 @pytest.mark.parametrize("sockets", [128, 256, 384, 1024])
 def test_the_budget_of_descriptors_holds_for_all(sockets) -> None:
     limits = budget(sockets, 64, 20_000)
     assert limits.connections + limits.backend_connections + RESERVE <= sockets
-    assert limits.connections >= sockets / 3 and limits.backend_connections >= sockets / 4
+    assert limits.kept_idle < sockets / 3 <= limits.connections and limits.backend_connections >= sockets / 4
 
 
 def test_nothing_new_goes_to_a_backend_that_leaves_and_its_connections_go_with_it(world) -> None:
