The log tells units asked for, let in and refused by belief, and what came of them

Need: an operator could not rebuild from the log how much was let in beyond quotas or refused with room. Change: the module keeps an account in units: asked, unasked, refused_unasked; over_known (a plan that lets in what is beyond its quota), over_unknown and refused_with_room (what the counter's next answer for that customer shows of tries decided by belief). `requests.units_*` in the counts of both ingresses. A test plays each figure.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -71,6 +71,7 @@
         self.store, self.told_at = plan.burst, -inf  # the shared store as the counter's last answer showed it
         self.left = 1.0  # the part of the quota that was left over since the counter's name began
         self.followed_at, self.dry = now, False
+        self.let_in, self.turned = 0.0, 0.0  # units decided here by belief since the counter last told
         self.forgiven = 0.0  # use that a smaller plan let pass and a larger one would count again
 
     def refill(self, now: float) -> None:
@@ -197,6 +198,8 @@
         self.rings: dict[tuple[Group, int], list[int]] = {(Group.ALL, 0): []}  # ready backends, by group
         self.slowness = Slowness()  # of the fleet as a whole
         self.asking, self.retries = ASK_FIRST, RETRY_MOST
+        self.account = dict.fromkeys(  # units of tries, for the log: how they were decided, what that came to
+            ("asked", "unasked", "over_known", "over_unknown", "refused_unasked", "refused_with_room"), 0.0)
         self.stake = 0.0  # what is lost by a try let in beyond its quota, of those met lately
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
@@ -289,18 +292,23 @@
             return self.admit(now, call, True)
         customer.dry = True
         if room and plan.over_worth > plan.over_cost:
+            self.account["over_known"] += 0.0 if customer.thin(event.units) else event.units
             return self.admit(now, call, customer.thin(event.units))
         luck = self.random.random()
         if not room or luck >= customer.room(now, max(self.asking, customer.left)):
+            customer.turned += event.units
+            self.account["refused_unasked"] += event.units
             return self.refuse(now, call, Why.QUOTA)  # told to be empty, and no use to ask again
         answered_by = now + self.settings.counter_timeout_ms + 2 * self.settings.tick_ms
         chance = self.worth_asking(call) if self.counting and answered_by < call.give_up else 0.0
         if self.random.random() < chance:  # hold the try and ask for its units
             if customer.thin(event.units):  # it stands for those like it that are not asked for
                 call.counted = min(event.units / chance, max(event.units, DRIFT * plan.burst))
+                self.account["asked"] += event.units
                 return self.count(customer, now, call.counted, 0.0, call)
             if customer.debt + event.units > 0:  # one try a lump
                 call.counted = event.units
+                self.account["asked"] += event.units
                 customer.debt += event.units
                 return self.settle(now, customer, call)
         if luck < customer.room(now, customer.left) and (
@@ -330,6 +338,9 @@
         customer.cap_tokens -= event.units if customer.plan.ceiling_rate else 0.0
         if inside and not call.counted:
             customer.tokens -= event.units
+            if customer.dry:  # beyond the bucket, and nothing told
+                customer.let_in += event.units
+                self.account["unasked"] += event.units
             if not (self.counting and customer.thin(event.units)):  # those asked for stand for it
                 customer.debt += event.units
                 self.settle(now, customer)
@@ -398,6 +409,7 @@
             return
         customer.refill(now)
         gain = customer.told(now, event.total - use - drift, use, age) - drift
+        self.settle_account(customer, max(0.0, customer.store + use))
         # a try that stands for others is let in as far as the store holds them all
         granted = held is not None and customer.store + use >= max(
             held.event.units, held.counted * self.random.random())
@@ -411,6 +423,12 @@
         if abs(gain) > DRIFT * customer.plan.burst:  # of two gateways that put it right the later takes back
             self.count(customer, now, min(gain, 0.0), max(gain, 0.0), None)
 
+    def settle_account(self, customer: Customer, level: float) -> None:
+        """What a telling shows of the tries that were decided by belief since the one before it."""
+        self.account["over_unknown"] += max(0.0, customer.let_in - level)
+        self.account["refused_with_room"] += min(customer.turned, level)
+        customer.let_in = customer.turned = 0.0
+
     # ---- backends
 
     def fleet(self, now: float, event: FleetUpdate) -> None:
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -83,6 +83,11 @@
             ("arrived", "served", "refused", "failed", "expired", "left", "lapsed", "attempts", "moot",
              "stalls", *(f"refused_{why.value}" for why in Why)), 0)
 
+    def requests(self) -> dict[str, float]:
+        """What became of the requests, for the log; the units of the module's account among it."""
+        units = {f"units_{name}": round(sum_, 1) for name, sum_ in self.gateway.account.items()}
+        return self.counts | units
+
     # ---- events from the drivers
 
     def arrive(self, exchange: Exchange) -> None:
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -247,7 +247,7 @@
             self.identity.follower.stale_ms(self.steady.now()))} if self.identity else {}
         forward = (self.forward.permits.counts | self.forward.counts | {
             "held": self.forward.permits.active}) if self.forward else {}
-        return {"identity": identity, "forward": forward, "held": self.held, "requests": self.core.counts,
+        return {"identity": identity, "forward": forward, "held": self.held, "requests": self.core.requests(),
                 "front": self.front.counts, "tokens": self.introspector.checker.counts,
                 "connections": self.pool.counts, "counter": counter,
                 "recovery": self.recorder.counts if self.recorder is not None else {},
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -151,7 +151,7 @@
         gateway, front = self.core.gateway, self.front
         pipeline = self.counter.parts[0].pipeline if self.counter is not None else None
         return {
-            "requests": self.core.counts, "attempts": self.upstream.counts, "front": front.counts,
+            "requests": self.core.requests(), "attempts": self.upstream.counts, "front": front.counts,
             "connections": self.pool.counts, "watch": self.watch.counts,
             "counter": {"turned_away": pipeline.turned_away, "dropped": pipeline.dropped,
                         "out": len(pipeline.calls)} if pipeline is not None else {},
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -340,6 +340,28 @@
     assert not only(answer(g, mended[0], level_zero(g, count)), Count)  # that is not corrected again
 
 
+def test_the_account_tells_what_was_decided_by_belief_and_what_came_of_it() -> None:
+    g, count = held()
+    assert only(answer(g, count, level_zero(g, count) - 5.0 + count.amount), Send)  # one unit is left
+    g.asking = 1e-9
+    for n in range(2, 12):
+        g.handle(START + 4, request(n, width=200, units=1.0))
+    account = g.account
+    assert account["asked"] == 4.0 and account["unasked"] + account["refused_unasked"] == 10.0
+    assert account["refused_unasked"] > account["unasked"]
+    g.asking, customer = 1.0, g.customers[9]
+    customer.let_in = 5.0
+    again = next(c for n in range(20, 60) for c in only(g.handle(START + 1000, request(n, width=200)), Count))
+    turned = customer.turned
+    answer(g, again, level_zero(g, again, START + 1003) - 3.0 + again.amount, now=START + 1003)
+    assert account["over_unknown"] == pytest.approx(2.0) and account["refused_with_room"] == pytest.approx(min(turned, 3.0))
+    assert (customer.let_in, customer.turned) == (0.0, 0.0)
+    lenient = gateway(*range(1, 30), plans=(replace(PLAN, over_worth=0.3),), counter=True)
+    for n in range(40):
+        lenient.handle(START, request(n, width=1, units=1.0))
+    assert lenient.account["over_known"] > 0 and lenient.account["over_unknown"] == 0
+
+
 def test_a_held_try_whose_client_left_takes_nothing() -> None:
     g, count = held()
     g.handle(START + 1, RequestWithdrawn(1))
