--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -337,10 +337,10 @@
             return self.refuse(now, call, Why.PRESSURE)
         customer.cap_tokens -= event.units if customer.plan.ceiling_rate else 0.0
         if inside and not call.counted:
-            customer.tokens -= event.units
-            if customer.dry:  # beyond the bucket, and nothing told
+            if customer.dry and customer.tokens < event.units:  # beyond the bucket, and nothing told
                 customer.let_in += event.units
                 self.account["unasked"] += event.units
+            customer.tokens -= event.units
             if not (self.counting and customer.thin(event.units)):  # those asked for stand for it
                 customer.debt += event.units
                 self.settle(now, customer)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -356,6 +356,11 @@
     answer(g, again, level_zero(g, again, START + 1003) - 3.0 + again.amount, now=START + 1003)
     assert account["over_unknown"] == pytest.approx(2.0) and account["refused_with_room"] == pytest.approx(min(turned, 3.0))
     assert (customer.let_in, customer.turned) == (0.0, 0.0)
+    thick = gateway(*range(1, 30), plans=(PLAN,))
+    for n in range(12):
+        thick.handle(START, request(n, width=2))
+    assert only(thick.handle(START + 500, request(12, width=2)), Send)  # what the bucket holds is not let in by belief
+    assert thick.customers[9].dry and thick.account["unasked"] == 0
     lenient = gateway(*range(1, 30), plans=(replace(PLAN, over_worth=0.3),), counter=True)
     for n in range(40):
         lenient.handle(START, request(n, width=1, units=1.0))
