--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -490,7 +490,7 @@
                        "counter": f"127.0.0.1:{free_port()}"}
     (tmp_path / "config.json").write_bytes(msgspec.json.encode(config))
     command = run.replace(".venv/bin/python", sys.executable)  # where the tests' own environment lies elsewhere
-    process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=subprocess.PIPE, stdin=subprocess.DEVNULL,
+    process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
                                env=os.environ | {"RELAY_CONFIG": str(tmp_path / "config.json")})
     try:
         while b"node.listening" not in process.stderr.readline():
