Settings, servers and roster agreed by keepers; instances act on leases, or on the narrowest

A keeper believes no disk at its start: it asks all the others first. No process tests with faults yet.

--- /dev/null
+++ b/tamarindfold/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, servers and roster that all instances agree on, with versions, leases and one fencing number."""
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -13,7 +13,7 @@
 from tamarindfold.interface import (
     Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, PlansChanged, Refuse, Remembered, RequestArrived,
-    RequestClass, RequestWithdrawn, Restored, Send, Settings, StoodStill, UsePassed, Why,
+    RequestClass, RequestWithdrawn, Restored, Send, Settings, SettingsChanged, StoodStill, UsePassed, Why,
 )
 
 # ---- tuned constants
@@ -94,6 +94,11 @@
             self.tokens, self.store, self.debt = full, plan.burst, min(self.debt, 0.0)
         self.plan = plan
 
+    def resize(self, now: float, width: int) -> None:
+        """Another part of the quota: it shrinks with the next refill, and what it grows by comes empty."""
+        self.refill(now)
+        self.share, self.even = min(1.0, self.share / self.even / width), 1 / width
+
     def return_time(self, now: float, units: float, no_show: float) -> float:
         """DIBA (the paper's Algorithm 6): how long the refused client is to stay away."""
         while self.appointments and self.appointments[0] <= now - no_show:
@@ -203,11 +208,13 @@
         self.stake = 0.0  # what is lost by a try let in beyond its quota, of those met lately
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        self.grown_at, self.grown_from = 0.0, 1  # when this part of the quotas last grew, and from which
         self.woke_at = -inf  # what was sent before tells nothing of the backends: this gateway stood still
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
             FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, PlansChanged: self.plans_changed,
+            SettingsChanged: self.settings_changed,
             UsePassed: self.passed, StoodStill: self.stood_still, Restored: self.restored}
 
     def handle(self, now: float, event: Event) -> Actions:
@@ -229,6 +236,19 @@
         """A customer meets its new plan with its next request."""
         self.settings = replace(self.settings, plans=event.plans)
 
+    def settings_changed(self, now: float, event: SettingsChanged) -> None:
+        """Another part of every quota: nothing is handed out here that others had a moment ago."""
+        old, new, kept = self.settings, event.settings, self.grown_from * (now - self.grown_at < NAME_TTL_MS)
+        self.settings, self.counting = new, new.counter and not new.meter_ms
+        for cls in new.classes[len(self.unit_ms):]:
+            self.unit_ms.append(cls.aim_ms / 10)
+            for backend in self.backends.values():
+                backend.slowness.append(Slowness())
+        if new.gateways < old.gateways or event.newcomer:
+            self.grown_at, self.grown_from = now, max(kept, old.gateways, 10**9 * event.newcomer)
+        for customer in self.customers.values() if new.gateways != old.gateways else ():
+            customer.resize(now, new.gateways)
+
     # ---- across stalls and restarts
 
     def stood_still(self, now: float, event: StoodStill) -> None:
@@ -269,6 +289,8 @@
             width = max(1, min(event.width, self.settings.gateways))
             debt = -self.random.random() * LUMP * plan.burst  # so that rare reports are right on average
             known = Customer(plan, width, now, event.customer, debt)
+            known.tokens = min(known.tokens, plan.burst / self.grown_from
+                               + (now - self.grown_at) / 1000 * plan.rate * known.even)
         self.customers[event.customer] = known  # the longest unseen stand first
         known.refill(now)
         if known.plan is not plan:
@@ -564,6 +586,7 @@
 
     def again(self, now: float, call: Call) -> None:
         """The one table of further attempts: by effect, and by what may have run."""
+        call.cls = self.settings.classes[call.event.cls]  # it may be narrower by now
         safe, keyed = call.cls.effect is Effect.SAFE, call.cls.effect is Effect.KEYED
         harmless = safe or not call.may_have_run
         allowed = harmless or (keyed and now < call.ran_until - 1)
--- a/tamarindfold/cli/main.py
+++ b/tamarindfold/cli/main.py
@@ -6,7 +6,7 @@
 
 import click
 
-from tamarindfold.cli import call, fleet, keys, registry, rehearse, serve, standin
+from tamarindfold.cli import call, fleet, keeper, keys, registry, rehearse, serve, settings, standin
 from tamarindfold.config.load import ConfigError
 
 
@@ -26,6 +26,8 @@
 cli.add_command(registry.registry)
 cli.add_command(call.call)
 cli.add_command(fleet.group)
+cli.add_command(keeper.keeper)
+cli.add_command(settings.group)
 
 
 def main() -> None:
--- a/tamarindfold/cli/serve.py
+++ b/tamarindfold/cli/serve.py
@@ -10,14 +10,17 @@
 import click
 
 from tamarindfold.config import derive
-from tamarindfold.config.load import ConfigError, load
-from tamarindfold.config.model import GatewayConfig
+from tamarindfold.config.load import ConfigError, convert, load, read_yaml
+from tamarindfold.config.model import GatewayConfig, InstanceConfig
 
 FILE = click.argument("file", type=click.Path(path_type=Path))
 
 
-def read(path: Path) -> GatewayConfig:
-    """A gateway's configuration, checked."""
+def read(path: Path) -> GatewayConfig | InstanceConfig:
+    """A gateway's configuration, checked; of an instance with agreed settings, what is its own."""
+    data = read_yaml(path)
+    if isinstance(data, dict) and "agreement" in data:
+        return convert(data, InstanceConfig, str(path))
     return load(path, GatewayConfig, derive.check)
 
 
@@ -30,14 +33,24 @@
     from gevent.event import Event
 
     from tamarindfold.cli import lifeline
+    from tamarindfold.ingress.agreed import Agreed, NotAgreed
     from tamarindfold.ingress.logs import logger
     from tamarindfold.ingress.server import Ingress
 
-    log = logger(config.log.level, instance=config.instance.index)
-    try:
-        ingress = Ingress(config, log)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{file}: identity: {error}") from error
+    agreed: Agreed | None = None
+    if isinstance(config, InstanceConfig):
+        log = logger(config.log.level, instance=config.agreement.name)
+        try:
+            agreed = Agreed(config, log)
+            ingress = agreed.begin()
+        except (OSError, ValueError, NotAgreed) as error:
+            raise ConfigError(f"{file}: agreement: {error}") from error
+    else:
+        log = logger(config.log.level, instance=config.instance.index)
+        try:
+            ingress = Ingress(config, log)
+        except (OSError, ValueError) as error:
+            raise ConfigError(f"{file}: identity: {error}") from error
     try:
         host, port = ingress.start()
     except OSError as error:
@@ -58,6 +71,8 @@
     stop.wait()
     if not ingress.stop():
         log("ingress.stopped_with_requests_held", held=ingress.held)
+    if agreed is not None:
+        agreed.end()  # it acts no more, and may say so
 
 
 @click.command()
@@ -65,6 +80,10 @@
 def check(file: Path) -> None:
     """Validate a configuration and print what the gateway would be."""
     config = read(file)
+    if isinstance(config, InstanceConfig):
+        click.echo(f"instance {config.agreement.name}: settings, servers and its place as agreed by "
+                   f"{', '.join(config.agreement.keepers)}")
+        return
     instance = config.instance
     click.echo(f"gateway {instance.index} of {instance.gateways}, listening on "
                f"{config.listen.host}:{config.listen.port or '(chosen by the system)'}")
--- a/tamarindfold/config/derive.py
+++ b/tamarindfold/config/derive.py
@@ -8,7 +8,7 @@
 
 from tamarindfold.config.addresses import split_address
 from tamarindfold.config.model import GatewayConfig
-from tamarindfold.interface import BackendEntry, Effect, Group, Plan, RequestClass, Settings
+from tamarindfold.interface import BackendEntry, BackendState, Effect, Group, Plan, RequestClass, Settings
 
 
 def backend_id(host: str, port: int) -> int:
@@ -49,8 +49,10 @@
 
 def static_entries(config: GatewayConfig) -> list[BackendEntry]:
     """The fixed list of servers."""
-    return [BackendEntry(backend_id(*split_address(s.address, f"fleet.static[{i}].address")), zone=s.zone,
-                         kind=s.kind, cell=s.cell, size=s.size) for i, s in enumerate(config.fleet.static)]
+    states = {"ready": BackendState.READY, "draining": BackendState.DRAINING}
+    return [BackendEntry(backend_id(*split_address(s.address, f"fleet.static[{i}].address")),
+                         states[s.state], s.zone, s.kind, s.cell, s.size)
+            for i, s in enumerate(config.fleet.static)]
 
 
 def _unique(names: list[str], what: str) -> None:
--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -12,6 +12,7 @@
 Count = Annotated[int, Meta(ge=1)]
 Number = Annotated[float, Meta(ge=0)]
 Port = Annotated[int, Meta(ge=0, le=65535)]
+Part = Annotated[float, Meta(gt=0, le=1)]
 Word = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 
 
@@ -77,6 +78,7 @@
     path: Annotated[str, Meta(pattern=r"^/")]
     cls: Word = field(name="class")
     scope: str = ""  # scopes needed, space-separated (RFC 6749 3.3)
+    led_only: bool = False  # not served by an instance that cannot know whether its settings are in force
 
 
 class PlanConfig(Section, frozen=True):
@@ -222,6 +224,7 @@
     cell: Annotated[int, Meta(ge=0)] = 0
     kind: Annotated[int, Meta(ge=0)] = 0
     size: Number = 1
+    state: Literal["ready", "draining"] = "ready"
 
 
 class Fleet(Section, frozen=True):
@@ -236,7 +239,7 @@
 class Safety(Section, frozen=True):
     """What the rules on cold servers and drains are held to."""
 
-    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    start_capacity: Part = 0.2
     cold_ms: Ms = 15_000
     fall_multiple: MsAboveNought = 2
     overload_ms: MsAboveNought = 1_000
@@ -261,7 +264,7 @@
     every_ms: MsAboveNought = 1_000  # after the end of a snapshot the next is begun
     max_age_ms: Ms = 600_000  # an older snapshot is not taken
     ahead_ms: Ms = 2_000  # nor one from further in the future than this
-    background_part: Annotated[float, Meta(gt=0, le=1)] = 0.05  # of the time, for all background work
+    background_part: Part = 0.05  # of the time, for all background work
 
 
 class Log(Section, frozen=True):
@@ -293,3 +296,30 @@
     upstream: Upstream = Upstream()
     recovery: RecoveryConfig = RecoveryConfig()
     log: Log = Log()
+
+
+class AgreementConfig(Section, frozen=True):
+    """Where the agreed settings are kept, and who this instance is among the others."""
+
+    keepers: Annotated[list[str], Meta(min_length=1, max_length=9)]
+    public_key: str  # file
+    name: Word
+    join_ms: MsAboveNought = 10_000  # a start waits so long for a place in the roster
+
+
+class InstanceConfig(Section, frozen=True):
+    """The file of an instance whose settings are agreed: what is its own. See GatewayConfig."""
+
+    agreement: AgreementConfig
+    introspection: Introspection
+    identity: IdentityConfig | None = None
+    fronts: Annotated[list[Literal["proxy", "forward-auth"]], Meta(min_length=1)] | None = None
+    forward: Forward | None = None
+    networks: list[Network] = []
+    admin: Admin | None = None
+    instance: Instance = Instance()
+    listen: Listen = Listen()
+    limits: Limits = Limits()
+    upstream: Upstream = Upstream()
+    recovery: RecoveryConfig = RecoveryConfig()
+    log: Log = Log()
--- a/tamarindfold/counter/driver.py
+++ b/tamarindfold/counter/driver.py
@@ -134,6 +134,13 @@
         """Make one call; its one answer is told later, or at once where it can't be made."""
         self.parts[part_of(count.name, len(self.parts))].call(count)
 
+    def retire(self) -> None:
+        """Another counter takes this one's place: what is out may have been added; nobody waits for it."""
+        for part in self.parts:
+            for answer in part.pipeline.lost(part.clock()):
+                part.tell(answer)
+        self.stop()
+
     def stop(self) -> None:
         """Close all connections."""
         for part in self.parts:
--- a/tamarindfold/identity/files.py
+++ b/tamarindfold/identity/files.py
@@ -31,24 +31,38 @@
     return _beside(store, ".pepper")
 
 
-def make(store: Path) -> None:
-    """Make all three; OSError where one is there already."""
+def _write_new(path: Path, data: bytes, mode: int) -> None:
+    with open(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode), "wb") as file:
+        file.write(data)
+
+
+def make_pair(store: Path) -> None:
+    """Make a signing key and its public half; OSError where one is there already."""
     key = Ed25519PrivateKey.generate()
     private = key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
                                 serialization.NoEncryption())
     public = key.public_key().public_bytes(serialization.Encoding.PEM,
                                            serialization.PublicFormat.SubjectPublicKeyInfo)
-    for path, data, mode in ((private_path(store), private, 0o600), (public_path(store), public, 0o644),
-                             (pepper_path(store), secrets.token_bytes(PEPPER_BYTES), 0o600)):
-        with open(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode), "wb") as file:
-            file.write(data)
+    _write_new(private_path(store), private, 0o600)
+    _write_new(public_path(store), public, 0o644)
+
+
+def make(store: Path) -> None:
+    """Make all three; OSError where one is there already."""
+    make_pair(store)
+    _write_new(pepper_path(store), secrets.token_bytes(PEPPER_BYTES), 0o600)
 
 
 def private_key(store: Path) -> Ed25519PrivateKey:
-    """The signing key; ValueError where the file holds none."""
-    key = serialization.load_pem_private_key(private_path(store).read_bytes(), None)
+    """The signing key of a store; ValueError where the file holds none."""
+    return signing_key(private_path(store))
+
+
+def signing_key(path: Path) -> Ed25519PrivateKey:
+    """A signing key; ValueError where the file holds none."""
+    key = serialization.load_pem_private_key(path.read_bytes(), None)
     if not isinstance(key, Ed25519PrivateKey):
-        raise ValueError(f"{private_path(store)}: not an Ed25519 key")
+        raise ValueError(f"{path}: not an Ed25519 key")
     return key
 
 
--- a/tamarindfold/identity/wire.py
+++ b/tamarindfold/identity/wire.py
@@ -48,6 +48,27 @@
     return PlanRow(plan.name, plan.version, PlanFigures(**{name: getattr(plan, name) for name in _FIGURES}))
 
 
+def seal(data: bytes, key: Ed25519PrivateKey, purpose: bytes) -> bytes:
+    """Data in a signed envelope; the purpose is signed too, so that no envelope passes for another kind."""
+    checksum = hashlib.blake2b(data, digest_size=CHECKSUM_BYTES).digest()
+    return pb.Envelope(update=data, checksum=checksum, signature=key.sign(purpose + checksum)
+                       ).SerializeToString()
+
+
+def unseal(data: bytes, key: Ed25519PublicKey, purpose: bytes) -> bytes:
+    """What an envelope holds; BadUpdate where anything about it is wrong."""
+    try:
+        envelope = pb.Envelope.FromString(data)
+        if hashlib.blake2b(envelope.update, digest_size=CHECKSUM_BYTES).digest() != envelope.checksum:
+            raise BadUpdate("the checksum does not fit: truncated or corrupted")
+        key.verify(envelope.signature, purpose + envelope.checksum)
+    except DecodeError as error:
+        raise BadUpdate(f"not an envelope: {error}") from None
+    except InvalidSignature:
+        raise BadUpdate("signed by another key") from None
+    return bytes(envelope.update)
+
+
 def write(body: Body, made_at_ms: float, key: Ed25519PrivateKey) -> bytes:
     """An update as an envelope."""
     update = pb.Update(made_at_ms=made_at_ms)
@@ -71,24 +92,15 @@
         case Unchanged():
             update.unchanged.CopyFrom(pb.Unchanged(epoch=body.epoch, version=body.version,
                                                     other_past=body.other_past))
-    data = update.SerializeToString()
-    checksum = hashlib.blake2b(data, digest_size=CHECKSUM_BYTES).digest()
-    signature = key.sign(SIGNED + checksum)
-    return pb.Envelope(update=data, checksum=checksum, signature=signature).SerializeToString()
+    return seal(update.SerializeToString(), key, SIGNED)
 
 
 def read(data: bytes, key: Ed25519PublicKey) -> tuple[Body, float]:
     """The update in an envelope and when it was made; BadUpdate where anything about it is wrong."""
     try:
-        envelope = pb.Envelope.FromString(data)
-        if hashlib.blake2b(envelope.update, digest_size=CHECKSUM_BYTES).digest() != envelope.checksum:
-            raise BadUpdate("the checksum does not fit: truncated or corrupted")
-        key.verify(envelope.signature, SIGNED + envelope.checksum)
-        update = pb.Update.FromString(envelope.update)
+        update = pb.Update.FromString(unseal(data, key, SIGNED))
     except DecodeError as error:
         raise BadUpdate(f"not an update: {error}") from None
-    except InvalidSignature:
-        raise BadUpdate("signed by another key") from None
     match update.WhichOneof("body"):
         case "snapshot":
             s = update.snapshot
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from time import monotonic
 from typing import Any, Protocol
 
 import gevent
@@ -16,8 +17,8 @@
 )
 from tamarindfold.interface import (
     AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, StoodStill, TimerFired,
-    UsePassed, Why,
+    ListKind, Log, Outcome, Refuse, RequestArrived, RequestWithdrawn, Send, SetTimer, Settings,
+    SettingsChanged, StoodStill, TimerFired, UsePassed, Why,
 )
 from tamarindfold.limits.open import OpenLimits
 
@@ -68,13 +69,16 @@
         self.count: Callable[[Count], None] | None = None
         self.open: dict[int, Exchange] = {}
         self.fleet: dict[int, BackendEntry] = {}
-        self.news: deque[FleetUpdate | StoodStill] = deque()  # before everything else of the same turn
+        # before everything else of the same turn
+        self.news: deque[FleetUpdate | SettingsChanged | StoodStill] = deque()
         self.events: deque[Event] = deque()
         self.busy = False
         self.stall_ms, self.turned_at = stall_ms, clock()
         self.awake = GeventEvent()  # not set in the moments after a standstill
         self.awake.set()
         self.recorder: Memory | None = None
+        self.led_until_ms = math.inf  # by the monotonic clock: then the settings may be in force no more
+        self.lease_ended: Callable[[], None] = lambda: None  # settles that, before anything is decided
         self.now = 0.0  # of the event in the module's hands
         self.still_known: Callable[[Any], bool] | None = None  # whether a credential is good still
         self.numbers = 0
@@ -136,6 +140,12 @@
         self.news.append(update)
         self._pump()
 
+    def settle(self, settings: Settings, newcomer: bool) -> None:
+        """Go by these settings from now on."""
+        self.limits.resize(settings.gateways, settings.index)
+        self.news.append(SettingsChanged(settings, newcomer))
+        self._pump()
+
     def counted(self, answer: CountAnswered) -> None:
         """The answer to one counter call."""
         self.post(answer)
@@ -160,6 +170,9 @@
         After a standstill the answers, time-outs and requests of all that time lie there at once, and among
         them perhaps the news that a server is to be left alone: for a moment only news are taken in.
         """
+        if monotonic() * 1000 >= self.led_until_ms:
+            self.led_until_ms = math.inf
+            self.lease_ended()
         now = self.clock()
         gone = now - self.turned_at
         if gone > self.stall_ms and self.awake.is_set():
--- a/tamarindfold/ingress/door.py
+++ b/tamarindfold/ingress/door.py
@@ -52,11 +52,16 @@
 
     def __init__(self, config: GatewayConfig, introspector: Introspector, identity: Identity | None,
                  log: Callable[..., None]) -> None:
+        self.settle(config, True)
+        self.introspector, self.identity, self.log = introspector, identity, log
+        self.told: OrderedDict[str, None] = OrderedDict()
+
+    def settle(self, config: GatewayConfig, led: bool) -> None:
+        """Go by these settings from now on; led: they are known to be in force."""
         self.admission = Admission(config)
+        self.admission.router.led = led
         self.stale_ok = [c.unchecked == "stale" for c in config.classes]
         self.plan_claim = config.customers.plan_claim
-        self.introspector, self.identity, self.log = introspector, identity, log
-        self.told: OrderedDict[str, None] = OrderedDict()
 
     def enter(self, asked: Asked, give_up_ms: float, peer: str) -> Entry:
         """Customer and plan; Unauthorized, Forbidden, Unchecked or Rejected where there are none."""
--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -59,8 +59,8 @@
     """Answers proxies' sub-requests and takes their reports."""
 
     def __init__(self, config: GatewayConfig, core: Core, door: Door, timers: Timers,
-                 clock: Callable[[], float], log: Callable[..., None]) -> None:
-        super().__init__(config, core, door, timers, clock, log)
+                 clock: Callable[[], float], log: Callable[..., None], number: int) -> None:
+        super().__init__(config, core, door, timers, clock, log, number)
         section = config.forward
         assert section is not None
         told = section.names
@@ -68,11 +68,10 @@
         self.names = Names.of(told.method, told.uri, told.host, section.prefix, section.hosts)
         self.name_header = told.request.lower().encode()
         self.permits: Permits[Permit, Decision] = Permits(
-            config.instance.index, section.most_permits, section.most_repeats, section.most_remembered,
-            section.remember_ms)
+            number, section.most_permits, section.most_repeats, section.most_remembered, section.remember_ms)
         self.gate = Gate([c.worth for c in config.classes], section.most_deciding, section.decide_ms,
                          config.instance.seed)
-        self.index = b"%d" % config.instance.index
+        self.index = b"%d" % number
         self.chooses = section.form == "report"
         self.connection = _Sub
         self.prefix += b"f"  # the proxy front numbers its requests alike
--- a/tamarindfold/ingress/front.py
+++ b/tamarindfold/ingress/front.py
@@ -31,17 +31,20 @@
     """Serves client connections for one gateway."""
 
     def __init__(self, config: GatewayConfig, core: Core, door: Door, timers: Timers,
-                 clock: Callable[[], float], log: Callable[..., None]) -> None:
+                 clock: Callable[[], float], log: Callable[..., None], number: int) -> None:
         super().__init__(config.limits, core, answers, timers, clock, log)
         self.door = door
-        self.admission = door.admission
-        self.width = self.admission.width
-        self.prefix = b"%d-%x-" % (config.instance.index, int(clock()))
+        self.prefix = b"%d-%x-" % (number, int(clock()))
         self.networks = Networks((n.network, Rule(n.refuse, n.zone)) for n in config.networks
                                  ) if config.networks else None
         self.connection = TokenConnection
         self.counts |= dict.fromkeys(("unauthorized", "unchecked"), 0)
 
+    @property
+    def width(self) -> int:
+        """Through how many gateways a customer comes."""
+        return self.door.admission.width
+
 
 class TokenConnection(ClientConnection):
     """A connection of a client that shows a credential with each request."""
@@ -52,7 +55,7 @@
         """The request ready for the module, or the answer where it does not come that far."""
         front, name = self.front, b""
         try:
-            asked = front.admission.read(request)
+            asked = front.door.admission.read(request)
             front.core.numbers = number = front.core.numbers + 1
             name = asked.name or front.prefix + b"%x" % number
             deadline = self.began_ms + asked.time_left_ms
--- a/tamarindfold/ingress/routes.py
+++ b/tamarindfold/ingress/routes.py
@@ -14,18 +14,20 @@
 
     cls: int
     scopes: frozenset[str]
+    led_only: bool = False
 
 
 class Router:
     """Exact paths first, then the longest prefix that ends in a slash."""
 
     def __init__(self, config: GatewayConfig) -> None:
+        self.led = True  # whether this instance may know that its settings are in force
         numbers = {c.name: i for i, c in enumerate(config.classes)}
         self.exact: dict[str, dict[str, Target]] = {}
         self.below: dict[str, dict[str, Target]] = {}
         for route in config.routes:
             table = self.below if route.path.endswith("/") else self.exact
-            target = Target(numbers[route.cls], frozenset(route.scope.split()))
+            target = Target(numbers[route.cls], frozenset(route.scope.split()), route.led_only)
             table.setdefault(route.path, {})[route.method] = target
 
     def find(self, method: str, target: bytes) -> Target:
@@ -38,6 +40,8 @@
             raise Rejected(404, "no route has this path")
         if (found := methods.get(method)) is None:
             raise Rejected(405, f"this path takes {', '.join(sorted(methods))}")
+        if found.led_only and not self.led:
+            raise Rejected(503, "this instance cannot tell whether its settings are in force")
         return found
 
     @staticmethod
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -51,8 +52,11 @@
     """A running gateway."""
 
     def __init__(self, config: GatewayConfig, log: Callable[..., None],
-                 make: Callable[[Settings, int], Gateway] = Gateway) -> None:
+                 make: Callable[[Settings, int], Gateway] = Gateway, number: int | None = None) -> None:
+        """number: what names this instance in files and reports, where its index may change."""
         self.config, self.log = config, log
+        self.number, self.agreed = config.instance.index if number is None else number, number is not None
+        self.hindrance: Callable[[], str] = str  # why it is not ready, from outside
         self.steady = SteadyClock()
         clock = self.steady.now
         up, look = config.upstream, config.introspection
@@ -67,9 +71,9 @@
             look.url, look.client_id, look.secret(), checker_rules(look), look.connections, look.answer_bytes,
             config.instance.seed, clock, log)
         self.identity = self._identity(config, clock) if config.identity is not None else None
-        door = Door(config, self.introspector, self.identity, log)
-        self.front = Front(config, self.core, door, self.timers, clock, log)
-        self.forward = (ForwardFront(config, self.core, door, self.timers, clock, log)
+        self.door = door = Door(config, self.introspector, self.identity, log)
+        self.front = Front(config, self.core, door, self.timers, clock, log, self.number)
+        self.forward = (ForwardFront(config, self.core, door, self.timers, clock, log, self.number)
                         if config.forward is not None else None)
         self.forward_listener: StreamServer | None = None
         self.admin = Admin(config.admin, self) if config.admin is not None else None
@@ -96,8 +100,8 @@
 
     def _recorder(self, config: GatewayConfig, clock: Callable[[], float]) -> Recorder:
         section = config.recovery
-        return Recorder(Path(config.instance.state_dir), config.instance.index, self.core.gateway,
-                        section.max_age_ms, section.ahead_ms, clock, self.log)
+        return Recorder(Path(config.instance.state_dir), self.number, self.core.gateway,
+                        section.max_age_ms, section.ahead_ms, clock, self.log, self.agreed)
 
     def _restore(self) -> None:
         """Once the plans are known, and before the first request: what an earlier life left."""
@@ -116,17 +120,12 @@
 
     def _state_file(self, what: str, kind: str) -> Path | None:
         instance = self.config.instance
-        return Path(instance.state_dir) / f"{what}-{instance.index}.{kind}" if instance.state_dir else None
+        return Path(instance.state_dir) / f"{what}-{self.number}.{kind}" if instance.state_dir else None
 
     def start(self) -> tuple[str, int]:
         """Open the sockets; gives the address that clients reach. OSError where it can't be had."""
         config = self.config
-        if (section := config.counter) is not None:
-            parts = [split_address(part, "counter.parts") for part in section.parts]
-            self.counter = Counter(parts, section.timeout_ms, section.most_pending,
-                                   IncrByFloat(section.prefix),
-                                   section.reconnect_ms, self.steady.now, self.core.counted, self.log)
-            self.core.count = self.counter.call
+        self._count()
         if config.fleet.static:
             self.core.fleet_news(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
         else:
@@ -165,6 +164,38 @@
         self.log("ingress.listening", host=served[0][0], port=served[0][1])
         return served[0]
 
+    def _count(self) -> None:
+        """Count at the counter that the configuration names; the one before it is let go."""
+        if self.counter is not None:
+            self.core.count = None
+            self.counter.retire()
+            self.counter = None
+        if (section := self.config.counter) is not None:
+            parts = [split_address(part, "counter.parts") for part in section.parts]
+            self.counter = Counter(parts, section.timeout_ms, section.most_pending,
+                                   IncrByFloat(section.prefix),
+                                   section.reconnect_ms, self.steady.now, self.core.counted, self.log)
+            self.core.count = self.counter.call
+
+    def settle(self, config: GatewayConfig, led: bool, newcomer: bool = False) -> None:
+        """Go by another configuration from now on, as far as it may differ (agreement.document.check_after).
+
+        led: it is known to be in force. newcomer: this instance's part of every quota is new.
+        """
+        before, self.config = self.config, config
+        held = self.core.gateway.settings
+        made = derive.settings(config)
+        # plans that are as they were stay the same objects: the module knows by that
+        plans = held.plans if self.identity is not None else tuple(
+            next((old for old in held.plans if old == plan), plan) for plan in made.plans)
+        if (settings := replace(made, plans=plans)) != held or newcomer:
+            self.core.settle(settings, newcomer)
+        self.door.settle(config, led)
+        if config.fleet.static != before.fleet.static:
+            self.core.fleet_news(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
+        if config.counter != before.counter:
+            self._count()
+
     def stop(self) -> bool:
         """Stop accepting, finish what is held, close; False where something was still held at the end."""
         self.stopping = True
@@ -207,6 +238,8 @@
         """Why requests can't be decided now; empty where they can."""
         if self.stopping:
             return "stopping"
+        if why := self.hindrance():
+            return why
         if not self.core.fleet:
             return "no list of servers yet"
         if self.identity is not None and self.identity.follower.tables is None:
--- a/tamarindfold/ingress/servers.py
+++ b/tamarindfold/ingress/servers.py
@@ -29,16 +29,16 @@
 
     def __init__(self, settings: Callable[[], Settings], log: Callable[..., None]) -> None:
         self.settings, self.log = settings, log
-        self.classes = [cls.name.encode() for cls in settings().classes]
 
     def address(self, backend: int) -> tuple[str, int]:
         return _server(backend)[0]
 
     def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
+        cls = self.settings().classes[exchange.cls].name.encode()
         own = [(names.REQUEST, exchange.name), (names.ATTEMPT, b"%d" % attempt),
                (names.CUSTOMER, b"%d" % exchange.customer),
                (names.PLAN, self.plan(exchange.plan)),
-               (names.CLASS, self.classes[exchange.cls]), (names.UNITS, b"%g" % exchange.units),
+               (names.CLASS, cls), (names.UNITS, b"%g" % exchange.units),
                (names.TIME_LEFT, b"%d" % left_ms)]
         return write.request(exchange.method, exchange.target, _server(backend)[1], exchange.headers + own,
                              exchange.body)
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -81,7 +81,6 @@
         self.trust_ms, self.most_held = trust_ms, most_held
         self.held = self.peak = 0  # bytes of answers in hand, and the most there were
         self.core, self.pool, self.timers, self.peers, self.clock = core, pool, timers, peers, clock
-        self.unsafe = [cls.effect is Effect.UNSAFE for cls in core.gateway.settings.classes]
         self.running: dict[tuple[int, int], Attempt] = {}
         self.counts = {how.name.lower(): 0 for how in Outcome} | {"no_room": 0}
 
@@ -188,7 +187,8 @@
         request by then nobody can tell. A new connection has no such moment, but costs both sides work.
         """
         backend = attempt.backend
-        if not self.unsafe[attempt.exchange.cls] or self.clock() - self.pool.broke_at >= self.trust_ms:
+        unsafe = self.core.gateway.settings.classes[attempt.exchange.cls].effect is Effect.UNSAFE
+        if not unsafe or self.clock() - self.pool.broke_at >= self.trust_ms:
             idle = self.pool.take(backend)
             if idle is not None:
                 return idle
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -283,6 +283,17 @@
     plans: tuple[Plan, ...]
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """The settings from now on: classes and plans known before keep their places, new ones follow.
+
+    newcomer: this gateway's part of every quota is new, and whatever others spent of it is spent.
+    """
+
+    settings: Settings
+    newcomer: bool = False
+
+
 @dataclass(slots=True)
 class UsePassed:
     """A customer's use that somebody let pass without our word, or against it: to be counted, not decided."""
@@ -325,7 +336,8 @@
 
 
 Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged | UsePassed | StoodStill | Restored)
+         | ProbeEnded | PeerMessage | CountAnswered | PlansChanged | SettingsChanged | UsePassed
+         | StoodStill | Restored)
 
 
 # ---- actions
--- /dev/null
+++ b/tamarindfold/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""The program that keeps the agreed log: one of three or five processes."""
--- a/tamarindfold/limits/open.py
+++ b/tamarindfold/limits/open.py
@@ -37,6 +37,10 @@
         self.owners: dict[int, int] = {}  # request: customer
         self.refused = self.expired = 0
 
+    def resize(self, gateways: int, index: int) -> None:
+        """Another place among other gateways: leases that were given last their time."""
+        self.gateways, self.index = gateways, index
+
     def part(self, limit: int, customer: int, width: int) -> int:
         """This gateway's part of a customer's limit; the parts of its gateways add up to the limit."""
         width = max(1, min(width, self.gateways))
--- a/tamarindfold/links/link.py
+++ b/tamarindfold/links/link.py
@@ -14,8 +14,10 @@
 class Link:
     """What is read, and what its end means, is the user's. `sock`: the connection, while there is one."""
 
-    def __init__(self, address: tuple[str, int], connect_s: float, backoff: Backoff) -> None:
+    def __init__(self, address: tuple[str, int], connect_s: float, backoff: Backoff,
+                 source_address: str = "") -> None:
         self.address, self.connect_s, self.backoff = address, connect_s, backoff
+        self.source = (source_address, 0) if source_address else None
         self.sock: socket.socket | None = None
         self._hurry = Event()
 
@@ -46,7 +48,7 @@
 
     def _follow(self, read: Callable[[socket.socket], None]) -> None:
         address = self.address
-        with socket.create_connection(address, self.connect_s) as sock:
+        with socket.create_connection(address, self.connect_s, self.source) as sock:
             if address != self.address:  # moved meanwhile
                 return
             self.sock = sock
--- /dev/null
+++ b/tamarindfold/modelcheck/leases.py
@@ -0,0 +1,319 @@
+"""Leases, shares and versions as a world: real keepers, a real steward and real leases, with time in steps.
+
+The keepers' own talk is played in one go with a follower (`sync`); what lies between instances and keepers is
+asked, served and heard at any distance of time, or never. Instances stand still and wake, and their clocks
+run at their own speeds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Sequence
+from copy import copy
+from typing import Any
+
+import msgspec
+
+from tamarindfold.agreement.consensus import Action, Chose, Disk, Here, Keeper, Send
+from tamarindfold.agreement.document import LEAST_PART, Document
+from tamarindfold.agreement.lease import Acting, Lease, Renew, Renewed
+from tamarindfold.agreement.log import Newcomer, Proposed
+from tamarindfold.agreement.reports import Report, Reports
+from tamarindfold.agreement.steward import Steward
+from tamarindfold.modelcheck.keepers import clone
+
+STEP_MS = 250.0
+RATES = (1.0, 1.01, 0.99, 1.005)  # how fast the instances' clocks run
+SLACK = 1e-6
+
+
+def document(rate: float) -> Document:
+    """A version that grants so much."""
+    return msgspec.convert({
+        "classes": [{"name": "quote", "aim_ms": 1000, "deadline_ms": 4000, "worth": 1, "effect": "safe"}],
+        "routes": [{"method": "GET", "path": "/", "class": "quote"}],
+        "plans": [{"name": "corner", "rate": rate, "burst": 10}],
+        "fleet": {"static": [{"address": "127.0.0.1:9000"}]},
+        "terms": {"window_ms": 2000, "unled_ms": 1000, "least_share": 0.01, "most_instances": 8}}, Document)
+
+
+VERSIONS = tuple(document(rate) for rate in (8.0, 4.0, 12.0, 3.0, 6.0))
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """How much may happen."""
+
+    instances: int = 3
+    proposals: int = 3
+    stops: int = 2
+    restarts: int = 1  # an instance is killed, and another process begins in its place
+    leads: int = 1  # times that another keeper takes the lead
+
+
+class _Instance:
+    """A lease with its clock, what it has under way, and what it acts on."""
+
+    def __init__(self, lease: Lease, rate: float) -> None:
+        self.lease, self.rate = lease, rate
+        self.asked: dict[int, Renew] = {}
+        self.answers: dict[int, Renewed] = {}
+        self.acting: Acting | None = None
+        self.stopped = False
+
+    def copy(self) -> _Instance:
+        made = copy(self)
+        made.lease = copy(self.lease)
+        made.lease.fresh = dict(self.lease.fresh)
+        made.asked, made.answers = dict(self.asked), dict(self.answers)
+        return made
+
+
+class LeaseWorld:
+    """All of it at one moment."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds, self.now = bounds, 0.0
+        self.keepers = [Keeper(me, 3, Disk(), me, 0.0, True) for me in range(3)]
+        self.reports = [Reports() for _ in range(3)]
+        self.stewards = [Steward(reports) for reports in self.reports]
+        self.leader = 0
+        self.instances: list[_Instance] = []
+        self.left = bounds
+        self.lives = 0
+        self.proposed = 0
+        self.first_acted: dict[int, float] = {}
+        self.fault = ""
+        self._lead(0)
+        self._propose()
+        for number in range(bounds.instances):
+            self._start(number, "")
+        for _ in range(40):  # a fleet that is well to begin with
+            for name in ("write", "sync 1", "sync 2"):
+                self._move(name)
+            for number in range(bounds.instances):
+                for keeper in range(3):
+                    self._move(f"renew {number}{keeper}")
+        self._look()
+
+    # ---- the protocol of World
+
+    def moves(self) -> Sequence[str]:
+        out = ["time", "time", "write", "sync 1", "sync 2"]
+        for number, instance in enumerate(self.instances):
+            if instance.stopped:
+                out.append(f"wake {number}")
+                continue
+            if self.left.stops:
+                out.append(f"stop {number}")
+            if self.left.restarts:
+                out.append(f"restart {number}")
+            for keeper in range(3):
+                at = f"{number}{keeper}"
+                out.append(f"renew {at}")
+                if keeper in instance.answers:
+                    out.append(f"hear {at}")
+                elif keeper in instance.asked:
+                    out.append(f"serve {at}")
+                else:
+                    out.append(f"ask {at}")
+        if self.left.proposals:
+            out.append("propose")
+        if self.left.leads:
+            out += ["lead 1", "lead 2"]
+        return out
+
+    def after(self, move: str) -> LeaseWorld:
+        made = copy(self)
+        made.keepers = [clone(keeper) for keeper in self.keepers]
+        made.reports, made.stewards = [], []
+        for reports, steward in zip(self.reports, self.stewards, strict=True):
+            other = copy(reports)
+            other.known, other.fresh = dict(reports.known), dict(reports.fresh)
+            made.reports.append(other)
+            again = copy(steward)
+            again.reports, again.known_at = other, dict(steward.known_at)
+            made.stewards.append(again)
+        made.instances = [instance.copy() for instance in self.instances]
+        made.first_acted = dict(self.first_acted)
+        made._move(move)
+        made._look()
+        return made
+
+    def key(self) -> Hashable:
+        return (self.now, self.leader, tuple(k.state.chain for k in self.keepers),
+                tuple((i.stopped, i.lease.life, i.lease.state.number, tuple(sorted(i.lease.fresh.items())),
+                       tuple(sorted(i.asked)), tuple(sorted(i.answers)), i.lease.share)
+                      for i in self.instances), self.left)
+
+    def broken(self) -> str:
+        return self.fault
+
+    # ---- moves
+
+    def _move(self, move: str) -> None:
+        what, _, where = move.partition(" ")
+        if what == "time":
+            self.now += STEP_MS
+        elif what == "write":
+            self._write()
+        elif what == "sync":
+            self._sync(int(where))
+        elif what == "propose":
+            self.left = msgspec.structs.replace(self.left, proposals=self.left.proposals - 1)
+            self._propose()
+        elif what == "lead":
+            self.left = msgspec.structs.replace(self.left, leads=self.left.leads - 1)
+            self._lead(int(where))
+        else:
+            self._instance(what, where)
+
+    def _instance(self, what: str, where: str) -> None:
+        number = int(where[0])
+        instance = self.instances[number]
+        if what == "stop":
+            self.left = msgspec.structs.replace(self.left, stops=self.left.stops - 1)
+            instance.stopped, instance.acting = True, None  # it does nothing while it stands still
+        elif what == "wake":
+            instance.stopped = False
+        elif what == "restart":
+            self.left = msgspec.structs.replace(self.left, restarts=self.left.restarts - 1)
+            self._start(number, instance.lease.life)
+        else:
+            keeper = int(where[1])
+            for step in ("ask", "serve", "hear") if what == "renew" else (what,):
+                self._step(instance, keeper, step)
+
+    def _step(self, instance: _Instance, keeper: int, step: str) -> None:
+        if step == "ask":
+            instance.asked[keeper] = instance.lease.ask(self.now * instance.rate, 0.0)
+            instance.answers.pop(keeper, None)
+        elif step == "serve" and (asked := instance.asked.pop(keeper, None)) is not None:
+            instance.answers[keeper] = self._serve(keeper, asked)
+        elif step == "hear" and (answer := instance.answers.pop(keeper, None)) is not None:
+            instance.lease.answered(keeper, answer)
+            queue = instance.lease.state.queue
+            if queue:
+                instance.lease.ready, instance.lease.cannot = queue[0].version, ""
+
+    def _start(self, number: int, replaces: str) -> None:
+        self.lives += 1
+        lease = Lease(f"life{self.lives}", f"i{number}", 3, replaces)
+        made = _Instance(lease, RATES[number])
+        self.instances[number:number + 1] = [made]
+
+    def _serve(self, keeper: int, asked: Renew) -> Renewed:
+        core = self.keepers[keeper]
+        self.reports[keeper].take(self.now, Report(asked.life, asked.name, asked.number, asked.ready,
+                                                   asked.cannot, asked.wants, asked.replaces))
+        news = core.since(asked.number)
+        hindrance = core.state.hindrance(Newcomer(asked.name, asked.life, asked.replaces))
+        return Renewed(asked.sent, core.number, core.certain, asked.life in core.state.members, False,
+                       hindrance, news)
+
+    def _propose(self) -> None:
+        keeper = self.keepers[self.leader]
+        turn = self.proposed
+        if turn < len(VERSIONS) and keeper.proposal is None:
+            self.proposed += 1
+            body = Proposed(VERSIONS[turn], keeper.state.newest, "any", "", f"t{turn}", 0.0)
+            self._carry_out(self.leader, keeper.offer(self.now, 1, body))
+
+    def _write(self) -> None:
+        keeper = self.keepers[self.leader]
+        if keeper.leads and keeper.proposal is None:
+            due = self.stewards[self.leader].next(self.now, keeper.state)
+            if due is not None:
+                self._carry_out(self.leader, keeper.offer(self.now, 1, due))
+
+    def _lead(self, number: int) -> None:
+        keeper = self.keepers[number]
+        for other in self.keepers:
+            other.leader_at = -1e9
+        if keeper.leads:
+            return
+        keeper.due = self.now
+        self._carry_out(number, keeper.tick(self.now))
+        for peer in (p for p in range(3) if p != number):
+            self._talk(number, peer)
+        if keeper.leads:
+            self.leader = number
+            self.stewards[number].lead(self.now)
+
+    def _sync(self, place: int) -> None:
+        """The leader talks with one follower until they have nothing more to say."""
+        peer = [k for k in range(3) if k != self.leader][place - 1]
+        keeper = self.keepers[self.leader]
+        if keeper.leads:
+            keeper.next_at, keeper.heard = self.now, dict.fromkeys(keeper.others, self.now)
+            self._carry_out(self.leader, keeper.tick(self.now))
+            self._talk(self.leader, peer)
+
+    def _talk(self, one: int, other: int) -> None:
+        for _ in range(20):
+            moved = False
+            for sender, to in ((one, other), (other, one)):
+                for said in self._box(sender, to):
+                    moved = True
+                    if isinstance(said, Here):
+                        self.reports[to].hand_over(self.now, said.news)
+                    self._carry_out(to, self.keepers[to].hear(self.now, sender, said))
+            if not moved:
+                break
+        self.boxes: dict[tuple[int, int], list[Any]] = {}
+
+    def _box(self, sender: int, to: int) -> list[Any]:
+        return self.boxes.pop((sender, to), []) if hasattr(self, "boxes") else []
+
+    def _carry_out(self, me: int, actions: list[Action]) -> None:
+        if not hasattr(self, "boxes"):
+            self.boxes = {}
+        else:
+            self.boxes = {k: list(v) for k, v in self.boxes.items()}
+        for action in actions:
+            if isinstance(action, Send):
+                what = action.what
+                if isinstance(what, Here):
+                    what = Here(what.ballot, what.number, self.reports[me].news(self.now))
+                self.boxes.setdefault((me, action.to), []).append(what)
+            elif isinstance(action, Chose):
+                self.stewards[me].chosen(self.now, action.number)
+
+    # ---- what must hold
+
+    def _look(self) -> None:
+        for instance in self.instances:
+            if not instance.stopped:
+                instance.acting = instance.lease.acting(self.now * instance.rate)
+        acting = [(i, i.acting) for i in self.instances if i.acting is not None and i.acting.share]
+        for _, act in acting:
+            if act.led:
+                self.first_acted.setdefault(act.version, self.now)
+        self.fault = self.fault or self._contradiction(acting) or self._sum(acting) or self._places(acting)
+
+    def _contradiction(self, acting: list[tuple[_Instance, Acting]]) -> str:
+        for instance, act in acting:
+            newer = [at for version, at in self.first_acted.items() if version > act.version]
+            window = act.document.terms.window_ms
+            if act.led and newer and self.now - min(newer) > window + SLACK:
+                return (f"{instance.lease.name} acts on version {act.version} "
+                        f"{self.now - min(newer):.0f} ms after a newer one was in force")
+        return ""
+
+    def _sum(self, acting: list[tuple[_Instance, Acting]]) -> str:
+        known = max((k.state for k in self.keepers), key=lambda state: state.number)
+        whole = known.document
+        if whole is None:
+            return ""
+        granted = sum(act.share * act.document.plans[0].rate for _, act in acting)
+        if granted > whole.plans[0].rate * (1 + SLACK):
+            return f"all act on {granted:.3f} of {whole.plans[0].rate:g} a second"
+        return ""
+
+    def _places(self, acting: list[tuple[_Instance, Acting]]) -> str:
+        held: dict[int, str] = {}
+        for instance, act in acting:
+            terms = act.document.terms
+            if not act.led and act.share <= terms.least_share * LEAST_PART + SLACK:
+                continue  # acts on no place
+            if (other := held.setdefault(act.index, instance.lease.name)) != instance.lease.name:
+                return f"{other} and {instance.lease.name} both act on index {act.index}"
+        return ""
--- a/tamarindfold/recovery/driver.py
+++ b/tamarindfold/recovery/driver.py
@@ -26,7 +26,9 @@
     """One instance's memory on disk."""
 
     def __init__(self, folder: Path, instance: int, gateway: Gateway, max_age_ms: float, ahead_ms: float,
-                 clock: Callable[[], float], log: Callable[..., None]) -> None:
+                 clock: Callable[[], float], log: Callable[..., None], agreed: bool = False) -> None:
+        """agreed: how many gateways there are is not this instance's own, and may differ after a restart."""
+        self.agreed = agreed
         self.folder, self.instance, self.gateway = folder, instance, gateway
         self.max_age_ms, self.ahead_ms, self.clock, self.log = max_age_ms, ahead_ms, clock, log
         self.path = folder / f"recovery-{instance}.snap"
@@ -39,6 +41,9 @@
 
     # ---- at the start
 
+    def _configuration(self) -> bytes:
+        return files.configuration(self.gateway.settings, not self.agreed)
+
     def _journals(self) -> list[tuple[int, Path]]:
         found = []
         for path in self.folder.glob(f"recovery-{self.instance}.*.journal"):
@@ -55,7 +60,7 @@
         if self.path.exists():
             try:
                 header, rows = files.read(self.path.read_bytes())
-                why = refusal(header, now, files.configuration(self.gateway.settings), self.instance,
+                why = refusal(header, now, self._configuration(), self.instance,
                               self.max_age_ms, self.ahead_ms)
             except (OSError, files.BadSnapshot) as error:
                 why = str(error)
@@ -68,6 +73,9 @@
                 entries, torn = files.read_journals(later)
                 plans = [plan.name for plan in self.gateway.settings.plans]
                 restored = restore(header, rows, entries, plans, now)
+                if self.agreed:  # as many as there are now; what is held beyond that part is let go
+                    for row in restored.customers:
+                        row.width = self.gateway.settings.gateways
                 self.tracked = dict.fromkeys(row.customer for row in restored.customers)
                 self.counts["restored"] = len(restored.customers)
                 self.log("recovery.restored", customers=len(restored.customers),
@@ -84,7 +92,7 @@
     def _header(self, last: bool) -> bytes:
         settings = self.gateway.settings
         return files.header(files.Header(
-            files.configuration(settings), self.instance, self.generation, self.clock(), last,
+            self._configuration(), self.instance, self.generation, self.clock(), last,
             tuple(plan.name for plan in settings.plans), tuple(self.gateway.unit_ms)))
 
     def _set_aside(self, journals: list[Path]) -> None:
--- a/tamarindfold/recovery/format.py
+++ b/tamarindfold/recovery/format.py
@@ -43,10 +43,10 @@
     at_ms: float = 0.0
 
 
-def configuration(settings: Settings) -> bytes:
+def configuration(settings: Settings, shape: bool = True) -> bytes:
     """A digest of what a snapshot's contents mean something under: the classes and the fleet's shape."""
-    words = [f"{c.name}/{c.effect.value}/{c.aim_ms:g}" for c in settings.classes]
-    words.append(f"{settings.gateways}/{settings.index}")
+    words = [f"{c.name}/{c.effect.value}/{c.aim_ms:g}" if shape else c.name for c in settings.classes]
+    words.append(f"{settings.gateways}/{settings.index}" if shape else "agreed")
     return hashlib.blake2b("\n".join(words).encode(), digest_size=16).digest()
 
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -318,8 +318,8 @@
 
     seen = []
     r = rig(plans=[*PLANS[:1], {"name": "small", "rate": 50, "burst": 1}])
-    read = r.ingress.front.admission.read
-    r.ingress.front.admission.read = lambda request: (seen.append(request.get(b"tamarind-retry")), read(request))[1]
+    read = r.ingress.front.door.admission.read
+    r.ingress.front.door.admission.read = lambda request: (seen.append(request.get(b"tamarind-retry")), read(request))[1]
     replies = driver(Settings([url(r.address)], token="small"), *[ask()] * 6)
     assert {x.result.outcome for x in replies} <= {Outcome.SERVED, Outcome.REFUSED}
     assert b"1" in seen and sum(x.result.tries for x in replies) == len(seen)
