--- a/tamarindfold/agreement/state.py
+++ b/tamarindfold/agreement/state.py
@@ -176,10 +176,11 @@
         other = self.named(newcomer.name)
         if other is not None and other.life not in (newcomer.life, newcomer.replaces):
             return f"another process lives under the name {newcomer.name}"
-        gone = {newcomer.replaces, newcomer.life}
-        places = (self.members.keys() | self.held.keys()) - gone
-        if len(places) >= self.terms.most_instances:
-            return f"terms.most_instances: {len(places)} have places or are away with a share"
+        places = len(self.members) + sum(life not in self.members for life in self.held)
+        places -= sum(life in self.members or life in self.held
+                      for life in {newcomer.replaces, newcomer.life})
+        if places >= self.terms.most_instances:
+            return f"terms.most_instances: {places} have places or are away with a share"
         return ""
 
     # ---- what follows
--- a/tamarindfold/cli/main.py
+++ b/tamarindfold/cli/main.py
@@ -6,7 +6,9 @@
 
 import click
 
-from tamarindfold.cli import call, fleet, keeper, keys, registry, rehearse, serve, settings, standin
+from tamarindfold.cli import (
+    call, fleet, keeper, keys, modelcheck, registry, rehearse, serve, settings, standin,
+)
 from tamarindfold.config.load import ConfigError
 
 
@@ -28,6 +30,7 @@
 cli.add_command(fleet.group)
 cli.add_command(keeper.keeper)
 cli.add_command(settings.group)
+cli.add_command(modelcheck.group)
 
 
 def main() -> None:
--- a/tamarindfold/modelcheck/keepers.py
+++ b/tamarindfold/modelcheck/keepers.py
@@ -26,6 +26,7 @@
     offers: int = 2
     crashes: int = 0
     wipes: int = 0
+    beats: int = 1_000  # times that a leader says again what it said
     repeats: int = 0  # messages that are delivered and stay in the net
 
 
@@ -85,7 +86,8 @@
             elif keeper.role != "leader" and left.stands and (left.stands < self.bounds.stands or me == 0):
                 out.append(f"stand {me}")
             if keeper.leads:
-                out.append(f"beat {me}")
+                if left.beats:
+                    out.append(f"beat {me}")
                 if left.offers and keeper.proposal is None:
                     out.append(f"offer {me}")
             if left.crashes:
@@ -123,6 +125,7 @@
                     keeper.due = 0.0
                 actions = keeper.tick(0.0)
             elif what == "beat":
+                left = msgspec.structs.replace(left, beats=left.beats - 1)
                 keeper.next_at, keeper.heard = 0.0, dict.fromkeys(keeper.others, 0.0)
                 actions = keeper.tick(0.0)
             elif what == "ask":
--- a/tamarindfold/rehearsal/evidence.py
+++ b/tamarindfold/rehearsal/evidence.py
@@ -51,6 +51,7 @@
     instances: dict[str, int]  # by source address
     zones: dict[str, int]
     cells: dict[str, int]
+    marks: list[Entry] = field(default_factory=list)  # which settings each instance acted on
 
 
 def join(day: Day, clients: list[Entry], servers: list[list[Entry]], told: list[Entry],
@@ -120,6 +121,8 @@
     servers = [read(ledgers / f"server-{i}.jsonl") for i in range(day.servers.count)]
     parts = range(day.counter.parts if day.counter else 0)
     counted = [entry for i in parts for entry in read(ledgers / f"counter-{i}.jsonl")]
-    return join(day, read(ledgers / "clients.jsonl"), servers, read(ledgers / "fleet.jsonl"),
+    made = join(day, read(ledgers / "clients.jsonl"), servers, read(ledgers / "fleet.jsonl"),
                 read(ledgers / "run.jsonl"), counted,
                 [read(ledgers / f"proxy-{i}.jsonl") for i in range(len(day.proxies))])
+    made.marks = read(ledgers / "marks.jsonl")
+    return made
--- a/tamarindfold/rehearsal/judge.py
+++ b/tamarindfold/rehearsal/judge.py
@@ -12,8 +12,10 @@
 from itertools import pairwise
 from typing import Any
 
+from tamarindfold.agreement.document import Terms
 from tamarindfold.rehearsal.day import Day
 from tamarindfold.rehearsal.evidence import Evidence, Receipt, Try
+from tamarindfold.rehearsal.marks import contradictions
 
 INFORMED = 2 / 3  # of the work that pushed a cold server over: the share of gateways that knew it had started
 
@@ -52,6 +54,7 @@
         ceilings_kept(evidence),
         only_the_entitled(evidence, slack),
         *([callers_told_the_truth(evidence)] if evidence.ended else []),
+        *([settings_agreed(day, evidence)] if day.keepers else []),
     ] + ([valid_keys_accepted(evidence), counted_under_their_plans(evidence, slack)] if day.registry else [])
 
 
@@ -311,6 +314,20 @@
     return verdict
 
 
+def settings_agreed(day: Day, evidence: Evidence) -> Verdict:
+    """No instance acts on a version that contradicts a newer one for longer than the window (marks.py)."""
+    window_ms = day.judging.window_ms or day.gateway.get("terms", {}).get("window_ms", Terms().window_ms)
+    found = contradictions(evidence.marks + evidence.run, window_ms)
+    verdict = Verdict("settings agreed", found.looked_at)
+    for breach in found.breaches:
+        verdict.breach(breach.pop("t"), **breach)
+    verdict.notes |= {"contradiction_ms_max": round(found.max_ms, 1), "window_ms": window_ms,
+                      "without_a_lease": found.unled,
+                      "spread_ms_max": round(max(found.spread_ms.values(), default=0.0), 1),
+                      "versions": len(found.spread_ms)}
+    return verdict
+
+
 def valid_keys_accepted(evidence: Evidence) -> Verdict:
     """No request with a key that is good is turned away for who it is."""
     verdict = Verdict("good keys accepted")
--- a/tamarindfold/rehearsal/keepers.py
+++ b/tamarindfold/rehearsal/keepers.py
@@ -22,6 +22,7 @@
 from tamarindfold.agreement.state import State, decode
 from tamarindfold.config.addresses import split_address
 from tamarindfold.identity.files import make_pair, private_path, public_path, signing_key
+from tamarindfold.rehearsal.day import fits
 from tamarindfold.rehearsal.processes import Program
 from tamarindfold.rehearsal.relay import LinkFault, Relay
 from tamarindfold.standins.ledger import Ledger
@@ -78,7 +79,11 @@
 
     def words(self, who: str, words: list[str]) -> Program:
         """A program of this run, with a clock of its own where it has one."""
-        program = Program(who, words, self.out / "logs" / f"{who.replace(' ', '-')}.log")
+        return self.program(who, words, self.out / "logs" / f"{who.replace(' ', '-')}.log")
+
+    def program(self, who: str, words: list[str], log: Path) -> Program:
+        """The same with a log of another name."""
+        program = Program(who, words, log)
         if who in self.skews:
             program.module = ("tamarindfold.rehearsal.skewed", *map(str, self.skews[who]))
         if who in self.faulty:
@@ -180,9 +185,6 @@
 
     def links(self, near: str, far: str) -> list[Relay]:
         """The links between these; `*` in place of a number stands for all."""
-        def fits(pattern: str, who: str) -> bool:
-            return pattern in (who, "*") or (pattern.endswith(" *") and who.startswith(pattern[:-1]))
-
         return [relay for (a, b), relay in self.relays.items() if fits(near, a) and fits(far, b)]
 
     def spoil(self, near: str, far: str, fault: LinkFault) -> None:
