One follower of news over a link for feed, registry, platform and keepers; a fleet of agreed ones

Need: three pieces each kept a connection of their own, two without links.Link; ingress/admin and ingress/server imported each other; the same request and answer over a plain socket stood in five places.

--- a/tamarindfold/agreement/driver.py
+++ b/tamarindfold/agreement/driver.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import gevent
@@ -21,9 +22,10 @@
 from tamarindfold.agreement.state import encode
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.ds.durable import replace
-from tamarindfold.http1 import write
-from tamarindfold.http1.responses import BadResponse, ResponseReader
+from tamarindfold.http1.ask import ask
+from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.identity.wire import BadUpdate
+from tamarindfold.links.follower import Follower
 from tamarindfold.links.link import Link
 
 WAITS = 8  # questions in a window, at least, while nothing is new
@@ -97,8 +99,9 @@
         life = uuid.uuid4().hex
         self.folder = Folder(folder, life) if folder is not None else None
         self.lease = Lease(life, name, len(keepers), self.folder.replaces if self.folder else "", zone)
-        self.links = [Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S), source_address)
-                      for address in keepers]
+        self.followers = [
+            Follower(Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S), source_address),
+                     partial(self._talk, k), self._lost) for k, address in enumerate(keepers)]
         self.news = Event()
         self.to_save = Event()
         self.saved = 0
@@ -116,19 +119,21 @@
                     self.log("agreement.restored", version=self.lease.state.version, left=copy.left)
             except ValueError as error:
                 self.log("agreement.copy_unusable", reason=str(error))
-        self.greenlets = [gevent.spawn(self._follow, k) for k in range(len(self.links))]
-        self.greenlets += [gevent.spawn(self._watch), gevent.spawn(self._save)]
+        for follower in self.followers:
+            follower.start()
+        self.greenlets = [gevent.spawn(self._watch), gevent.spawn(self._save)]
 
     def stop(self) -> None:
         """Leave the roster, if the keepers can be told in time, and end."""
         self.lease.leaving = True
         self.changed()
-        for link in self.links:
-            link.cut()  # a question that waits for news would hide that this instance leaves
+        self._hurry()  # a question that waits for news would hide that this instance leaves
         with gevent.Timeout(LEAVE_S, False):
             while self.lease.life in self.lease.state.members:
                 gevent.sleep(LOOK_S)
         left = self.lease.life not in self.lease.state.members
+        for follower in self.followers:
+            follower.stop()
         gevent.killall(self.greenlets)
         if self.folder is not None:
             try:
@@ -150,41 +155,33 @@
         """What was found out of the newest version on its way: whether it can be applied here."""
         if (version, cannot) != (self.lease.ready, self.lease.cannot):
             self.lease.ready, self.lease.cannot = version, cannot
-            for link in self.links:
-                link.cut()  # say so at once
+            self._hurry()
 
-    # ---- greenlets
-
-    def _follow(self, keeper: int) -> None:
-        link = self.links[keeper]
-
-        def read(sock: socket.socket) -> None:
-            self._talk(keeper, link, sock)
+    def _hurry(self) -> None:
+        """Ask anew at once, with what there is to say."""
+        for follower in self.followers:
+            follower.link.cut()
 
-        def lost(reason: Exception | None) -> None:
-            self.counts["lost"] += 1
+    # ---- greenlets
 
-        link.keep(read, lost)
+    def _lost(self, reason: Exception | None) -> None:
+        self.counts["lost"] += 1
 
-    def _talk(self, keeper: int, link: Link, sock: socket.socket) -> None:
+    def _talk(self, keeper: int, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = ResponseReader(wire.BODY_BYTES)
-        host = "{}:{}".format(*link.address).encode()
+        follower = self.followers[keeper]
+        host = "{}:{}".format(*follower.link.address)
         while True:
             window_ms = self.lease.state.terms.window_ms
             wait_ms = window_ms / WAITS
             sock.settimeout((wait_ms + window_ms) / 1000)
             asked = self.lease.ask(now_ms(), wait_ms)
-            reader.begin()
-            sock.sendall(write.request("POST", b"/v1/renew", host, [], msgspec.msgpack.encode(asked)))
-            try:
-                reader.read(sock.recv)
-            except BadResponse as error:
-                raise ValueError(str(error)) from None
-            if reader.status != 200:
-                raise ValueError(f"keeper {keeper} answered {reader.status}")
-            self._answered(keeper, reader.body)
-            link.backoff.well()
+            status, body = ask(sock, reader, "POST", "/v1/renew", host, msgspec.msgpack.encode(asked))
+            if status != 200:
+                raise ValueError(f"keeper {keeper} answered {status}")
+            self._answered(keeper, body)
+            follower.well()
             if asked.number == self.lease.state.number and not self.lease.led:
                 gevent.sleep(wait_ms / 4000)  # waits for a place: no need to ask in a row
 
--- a/tamarindfold/agreement/operator.py
+++ b/tamarindfold/agreement/operator.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from tamarindfold.agreement import wire
-from tamarindfold.http1 import write
+from tamarindfold.http1.ask import ask
 from tamarindfold.http1.responses import BadResponse, ResponseReader
 from tamarindfold.identity.wire import BadUpdate
 
@@ -33,19 +33,17 @@
     def call(self, keeper: int, path: str, body: bytes, kind: type[T], said: str) -> T:
         """One call to one keeper; NoAnswer where nothing good came back."""
         host, port = self.keepers[keeper]
-        reader = ResponseReader(wire.BODY_BYTES)
         try:
             with socket.create_connection((host, port), timeout=CALL_S) as sock:
-                sock.sendall(write.request("POST", path.encode(), f"{host}:{port}".encode(),
-                                           [(b"connection", b"close")], body))
-                reader.read(sock.recv)
+                reader = ResponseReader(wire.BODY_BYTES)
+                status, answer = ask(sock, reader, "POST", path, f"{host}:{port}", body,
+                                     [(b"connection", b"close")])
         except (OSError, BadResponse) as error:
             raise NoAnswer(f"keeper {keeper} at {host}:{port}: {error}") from None
-        if reader.status != 200:
-            detail = reader.body.decode(errors="replace")
-            raise NoAnswer(f"keeper {keeper} answered {reader.status}: {detail}")
+        if status != 200:
+            raise NoAnswer(f"keeper {keeper} answered {status}: {answer.decode(errors='replace')}")
         try:
-            return wire.unpack(reader.body, kind, self.key.public_key(), said)
+            return wire.unpack(answer, kind, self.key.public_key(), said)
         except BadUpdate as error:
             raise NoAnswer(f"keeper {keeper}: {error}") from None
 
--- a/tamarindfold/agreement/reports.py
+++ b/tamarindfold/agreement/reports.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 from msgspec import Struct
 
+FORGET_MS = 60_000.0
 MOST_REPORTS = 2_000  # instances that are remembered; the longest unheard go first
 
 
@@ -52,6 +55,13 @@
         self.fresh.clear()
         return msgspec.msgpack.encode(fresh) if fresh else b""
 
+    def forget(self, now: float, places: Collection[str]) -> None:
+        """Let go of who has no place and has not been heard for long."""
+        for life in [life for life, (at, _) in self.known.items()
+                     if life not in places and now - at > FORGET_MS]:
+            del self.known[life]
+            self.fresh.pop(life, None)
+
     def hand_over(self, now: float, news: bytes) -> None:
         """What another keeper was told; ValueError where it can't be read."""
         if news:
--- a/tamarindfold/agreement/steward.py
+++ b/tamarindfold/agreement/steward.py
@@ -23,7 +23,7 @@
 
     def __init__(self, reports: Reports) -> None:
         self.reports = reports
-        self.known_at: dict[int, float] = {}  # by entry: since when it has been known to be chosen
+        self.known_at: dict[int, float] = {}  # by entry of a loss: since when it has been known to be chosen
         self.began = 0.0  # when this keeper came to lead
         self.forced: set[int] = set()  # versions that an operator puts in force whatever instances say
         self.widened: set[int] = set()  # versions that go on from the first instances to all
@@ -33,12 +33,12 @@
         self.began = now
         self.known_at.clear()
 
-    def chosen(self, now: float, number: int) -> None:
-        """The log reaches to this entry."""
-        self.known_at.setdefault(number, now)
-
     def next(self, now: float, state: State) -> Body | None:
         """The entry that is due, if there is one."""
+        self.known_at = {held.number: self.known_at.get(held.number, now) for held in state.held.values()}
+        if self.forced or self.widened:
+            self.forced = {version for version in self.forced if version > state.version}
+            self.widened = {version for version in self.widened if version > state.version}
         return self._roster(now, state) or self._version(now, state)
 
     def waits_for(self, now: float, state: State) -> str:
@@ -103,7 +103,7 @@
     def _is_floored(self, now: float, state: State, held: Held) -> bool:
         """Whether a lost one is on the least share by now: its lease ended within a window of the loss."""
         wait_ms = (state.terms.window_ms + state.terms.unled_ms) * (1 + DRIFT)
-        return held.index >= 0 and now - self.known_at.setdefault(held.number, now) > wait_ms
+        return held.index >= 0 and now - self.known_at.get(held.number, now) > wait_ms
 
     def _taken_up(self, state: State, number: int) -> bool:
         return all(self._has(life, number) for life in state.members)
--- a/tamarindfold/cli/settings.py
+++ b/tamarindfold/cli/settings.py
@@ -75,11 +75,16 @@
 
 @group.command()
 @click.argument("path", type=click.Path(path_type=Path))
-def keys(path: Path) -> None:
+@click.option("--if-missing", is_flag=True, help="Leave keys that are there as they are.")
+def keys(path: Path, if_missing: bool) -> None:
     """Make the fleet's signing key PATH.key, for keepers and operators, and PATH.pub, for instances."""
     from tamarindfold.identity.files import make_pair, private_path, public_path
 
+    if if_missing and private_path(path).exists() and public_path(path).exists():
+        click.echo(f"{private_path(path)} and {public_path(path)} are there")
+        return
     try:
+        path.parent.mkdir(parents=True, exist_ok=True)
         make_pair(path)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
--- a/tamarindfold/http1/responses.py
+++ b/tamarindfold/http1/responses.py
@@ -13,7 +13,7 @@
 HEAD_BYTES = 32_768  # of all an answer's headers: in pieces they take many times their size
 
 
-class BadResponse(Exception):
+class BadResponse(ValueError):
     """The other side answered something that is no response, or one beyond a bound."""
 
 
--- a/tamarindfold/identity/driver.py
+++ b/tamarindfold/identity/driver.py
@@ -11,7 +11,8 @@
 from gevent import socket
 from gevent.event import AsyncResult
 
-from tamarindfold.http1 import write
+from tamarindfold.ds.backoff import Backoff
+from tamarindfold.http1.ask import ask
 from tamarindfold.http1.responses import BadResponse, ResponseReader
 from tamarindfold.identity import copy, resolve
 from tamarindfold.identity.confirm import Confirmations, Put, Release
@@ -19,8 +20,11 @@
 from tamarindfold.identity.model import PlanRow
 from tamarindfold.identity.resolve import Denied, Known
 from tamarindfold.identity.wire import BadUpdate, read
+from tamarindfold.links.follower import Follower as LinkFollower
+from tamarindfold.links.link import Link
 
 UPDATE_BYTES = 512 << 20
+HOST = "registry"
 CONNECT_S = 2.0
 CONFIRM_S = 2.0
 LATE_S = 5.0  # beyond the long poll's own time
@@ -42,6 +46,8 @@
         self.source = (source_address, 0) if source_address else None
         self.clock, self.tell_plans, self.log = clock, plans, log
         self.follower = Follower()
+        self.news = LinkFollower(Link(registry, CONNECT_S, Backoff(self.reconnect_s, self.reconnect_s),
+                                      source_address), self._read, self._lost)
         self.plans_told = 0
         self.applied_at_ms = 0.0
         self.uses: dict[tuple[int, str], list[float]] = {}
@@ -94,7 +100,7 @@
         try:
             with (gevent.Timeout(CONFIRM_S),
                   socket.create_connection(self.registry, CONNECT_S, self.source) as sock):
-                status, body = self._call(sock, ResponseReader(UPDATE_BYTES), "GET", self._target(0.0), b"")
+                status, body = ask(sock, ResponseReader(UPDATE_BYTES), "GET", self._target(0.0), HOST)
             good = status == 200 and self._take(body)
         except (OSError, BadResponse, gevent.Timeout) as error:
             self.log("identity.not_confirmed", reason=str(error) or type(error).__name__)
@@ -137,41 +143,38 @@
             self.log("identity.copy_faulty", path=str(self.saved_at), reason=fault, version=self.version)
             self.follower.want_snapshot = True
         self._tell_plans()
-        self.greenlets = [gevent.spawn(self._follow), gevent.spawn(self._report)]
+        self.news.start()
+        self.greenlets = [gevent.spawn(self._report)]
 
     def stop(self) -> None:
         """End the greenlets."""
+        self.news.stop()
         gevent.killall(self.greenlets)
 
-    def _follow(self) -> None:
-        while True:
-            try:
-                self._poll_for_ever()
-                reason = "closed"
-            except (OSError, BadResponse, gevent.Timeout) as error:
-                reason = str(error) or type(error).__name__
-            self.counts["lost"] += 1
-            self.log("identity.registry_lost", reason=reason, version=self.version,
-                     stale_ms=round(self.follower.stale_ms(self.clock())))
-            gevent.sleep(self.reconnect_s)
-
-    def _poll_for_ever(self) -> None:
+    def _lost(self, reason: Exception | None) -> None:
+        self.counts["lost"] += 1
+        self.log("identity.registry_lost", reason=str(reason or "closed"), version=self.version,
+                 stale_ms=round(self.follower.stale_ms(self.clock())))
+
+    def _read(self, sock: socket.socket) -> None:
+        """Ask by long polls until the connection is of no use."""
         reader = ResponseReader(UPDATE_BYTES)
-        with socket.create_connection(self.registry, CONNECT_S, self.source) as sock:
-            sock.settimeout(self.wait_ms / 1000 + LATE_S)
-            while True:
-                status, body = self._call(sock, reader, "GET", self._target(self.wait_ms), b"")
-                if status != 200:
-                    raise BadResponse(f"status {status}")
-                if not self._take(body):
-                    gevent.sleep(self.reconnect_s)  # of no use now: no hurry to hear it again
-                if not reader.reusable:
-                    return
+        sock.settimeout(self.wait_ms / 1000 + LATE_S)
+        while True:
+            status, body = ask(sock, reader, "GET", self._target(self.wait_ms), HOST)
+            if status != 200:
+                raise BadResponse(f"status {status}")
+            if self._take(body):
+                self.news.well()
+            else:
+                gevent.sleep(self.reconnect_s)  # of no use now: no hurry to hear it again
+            if not reader.reusable:
+                return
 
     def _target(self, wait_ms: float) -> str:
-        ask = self.follower.ask()
-        return (f"/v1/updates?epoch={ask.epoch}&after={ask.after}&chain={ask.chain:x}"
-                f"&whole={int(ask.whole)}&wait_ms={wait_ms:.0f}")
+        want = self.follower.ask()
+        return (f"/v1/updates?epoch={want.epoch}&after={want.after}&chain={want.chain:x}"
+                f"&whole={int(want.whole)}&wait_ms={wait_ms:.0f}")
 
     def _take(self, envelope: bytes) -> bool:
         """Use an update; whether it was of use."""
@@ -227,16 +230,8 @@
             try:
                 with socket.create_connection(self.registry, CONNECT_S, self.source) as sock:
                     sock.settimeout(LATE_S)
-                    status, _ = self._call(sock, ResponseReader(1 << 16), "POST", "/v1/use", body)
+                    status, _ = ask(sock, ResponseReader(1 << 16), "POST", "/v1/use", HOST, body)
                 if status != 200:
                     self.log("identity.use_not_reported", reason=f"status {status}")
             except (OSError, BadResponse) as error:
                 self.log("identity.use_not_reported", reason=str(error))
-
-    @staticmethod
-    def _call(sock: socket.socket, reader: ResponseReader, method: str, target: str,
-              body: bytes) -> tuple[int, bytes]:
-        reader.begin()
-        sock.sendall(write.request(method, target.encode(), b"registry", [], body))
-        reader.read(sock.recv)
-        return reader.status, reader.body
--- a/tamarindfold/ingress/admin.py
+++ b/tamarindfold/ingress/admin.py
@@ -12,20 +12,30 @@
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from socket import socket
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from tamarindfold.config.model import Admin as AdminConfig
 
-if TYPE_CHECKING:
-    from tamarindfold.ingress.server import Ingress
-
 QUIET_S = 2.0  # a caller that says nothing is let go
 
 
+class Watched(Protocol):
+    """What is told of: a gateway that runs."""
+
+    turned_at: float  # when its loop turned last, by the monotonic clock, in seconds
+
+    @property
+    def ready(self) -> str:
+        """Why requests can't be decided now; empty where they can."""
+
+    def counts(self) -> dict[str, Any]:
+        """All counters, by part."""
+
+
 class Admin:
     """GET /health (the loop turns), /ready (requests can be decided), /counts."""
 
-    def __init__(self, config: AdminConfig, ingress: Ingress) -> None:
+    def __init__(self, config: AdminConfig, ingress: Watched) -> None:
         self.config, self.ingress, self.host = config, ingress, config.host
         self.server: _Server | None = None
 
--- a/tamarindfold/ingress/agreed.py
+++ b/tamarindfold/ingress/agreed.py
@@ -61,7 +61,7 @@
             raise NotAgreed(reason)
         self.ingress = Ingress(self._config(acting), self.log, number=crc32(self.agreement.name.encode()))
         self.ingress.core.lease_ended = self.changed
-        self.ingress.hindrance = self._hindrance
+        self.ingress.hindrance, self.ingress.agreement = self._hindrance, self.counts
         self._settle(acting, True)
         return self.ingress
 
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -57,6 +57,7 @@
         self.config, self.log = config, log
         self.number, self.agreed = config.instance.index if number is None else number, number is not None
         self.hindrance: Callable[[], str] = str  # why it is not ready, from outside
+        self.agreement: Callable[[], dict[str, Any]] = dict  # figures of the agreement, where there is one
         self.steady = SteadyClock()
         clock = self.steady.now
         up, look = config.upstream, config.introspection
@@ -135,8 +136,8 @@
                 config.upstream.source_address)
             self.feed.start()
             # Guards against sends by a saved list: what left it meanwhile was told to an earlier life.
-            if self.core.fleet and not self.feed.heard.wait(config.fleet.first_list_ms / 1000):
-                self.log("fleet.first_line_awaited_in_vain")
+            if self.core.fleet:
+                self.feed.follower.first(config.fleet.first_list_ms, self.log)
         if self.identity is not None:
             self.identity.start()
         else:
@@ -280,7 +281,8 @@
             self.identity.follower.stale_ms(self.steady.now()))} if self.identity else {}
         forward = (self.forward.permits.counts | self.forward.counts | {
             "held": self.forward.permits.active}) if self.forward else {}
-        return {"identity": identity, "forward": forward, "held": self.held, "requests": self.core.requests(),
+        return {"agreement": self.agreement(), "identity": identity, "forward": forward, "held": self.held,
+                "requests": self.core.requests(),
                 "front": self.front.counts, "tokens": self.introspector.checker.counts,
                 "connections": self.pool.counts, "counter": counter,
                 "recovery": self.recorder.counts if self.recorder is not None else {},
--- a/tamarindfold/keeper/config.py
+++ b/tamarindfold/keeper/config.py
@@ -17,6 +17,7 @@
     keepers: Annotated[list[str], Meta(min_length=1, max_length=9)]
     state_dir: str
     key: str  # file of the fleet's signing key
+    first_settings: str = ""  # file of what is agreed first, where nothing ever was
     host: str = "127.0.0.1"
     port: Port = 0  # 0: the one under which the others know this keeper
     seed: int = 1
--- a/tamarindfold/keeper/server.py
+++ b/tamarindfold/keeper/server.py
@@ -19,16 +19,19 @@
 from tamarindfold.agreement.consensus import (
     Action, Beat, Chose, Fill, Here, Keeper, Outcome, Said, Save, Send,
 )
+from tamarindfold.agreement.document import Document, check
 from tamarindfold.agreement.lease import Renew, Renewed
 from tamarindfold.agreement.log import Body, Dropped, Left, Newcomer, Proposed
 from tamarindfold.agreement.reports import Report, Reports
 from tamarindfold.agreement.state import Pending, encode, summary
 from tamarindfold.agreement.steward import Steward
 from tamarindfold.config.addresses import split_address
+from tamarindfold.config.load import load
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.http1 import write
+from tamarindfold.http1.ask import ask
 from tamarindfold.http1.requests import Rejected, Request, RequestReader
-from tamarindfold.http1.responses import BadResponse, ResponseReader
+from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.identity.files import signing_key
 from tamarindfold.identity.wire import BadUpdate
 from tamarindfold.keeper.config import KeeperConfig
@@ -83,7 +86,7 @@
         sock.settimeout(ANSWER_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = ResponseReader(1 << 16)
-        host = "{}:{}".format(*self.link.address).encode()
+        host = "{}:{}".format(*self.link.address)
         while True:
             self.more.wait()
             self.more.clear()
@@ -92,14 +95,9 @@
             said = tuple(self.queue)
             self.queue.clear()
             body = wire.pack(wire.Batch(self.keeper.core.me, said), self.keeper.key, "keeper")
-            reader.begin()
-            sock.sendall(write.request("POST", b"/v1/keeper", host, [], body))
-            try:
-                reader.read(sock.recv)
-            except BadResponse as error:
-                raise ValueError(str(error)) from None
-            if reader.status != 204:
-                raise ValueError(f"keeper {self.number} answered {reader.status}")
+            status, _ = ask(sock, reader, "POST", "/v1/keeper", host, body)
+            if status != 204:
+                raise ValueError(f"keeper {self.number} answered {status}")
             self.link.backoff.well()
 
 
@@ -110,6 +108,7 @@
         """OSError or ValueError where its folder or its key can't be used."""
         self.config, self.log = config, log
         self.key = signing_key(Path(config.key))
+        self.first = load(Path(config.first_settings), Document, check) if config.first_settings else None
         self.public = self.key.public_key()
         self.disk = LogFile(Path(config.state_dir), config.log_bytes)
         self.core = self._begin(trusted)
@@ -171,8 +170,7 @@
                         self.links[to].say(what)
                     case Outcome():
                         self._settle(action)
-                    case Chose(number):
-                        self.steward.chosen(now_ms(), number)
+                    case Chose():
                         self.log("keeper.chose", **summary(self.core.state))
                         self.changed.set()
                         self.changed.clear()
@@ -233,12 +231,19 @@
                 self.stewards_ticket = 0
                 self.log("keeper.leads", ballot=self.core.ballot[0], number=self.core.number)
         if self.led and not self.stewards_ticket and self.core.proposal is None:
-            due = self.steward.next(now, self.core.state)
+            due = self.steward.next(now, self.core.state) or self._first()
             if due is not None:
                 self.ticket += 1
                 self.stewards_ticket = self.ticket
                 self._do(self.core.offer(now, self.ticket, due))
 
+    def _first(self) -> Body | None:
+        """The first settings of all, where the file names some and no version was ever proposed."""
+        if self.first is None or self.core.state.notes:
+            return None
+        return Proposed(self.first, 0, "keeper", f"first settings, {self.config.first_settings}", "first",
+                        time.time() * 1000)
+
     def _offer(self, body: Body) -> Outcome:
         self.ticket += 1
         ticket, waiting = self.ticket, AsyncResult()
@@ -251,6 +256,8 @@
     def _tell(self) -> None:
         while True:
             gevent.sleep(TELL_EVERY_S)
+            state = self.core.state
+            self.reports.forget(now_ms(), state.members.keys() | state.held.keys())
             self.log("keeper.counts", **self.counts, **summary(self.core.state), leads=self.core.leads,
                      proven=self.core.proven, log_bytes=self.disk.size, saves=self.disk.saves,
                      reports=len(self.reports.known), reports_dropped=self.reports.dropped,
--- a/tamarindfold/membership/driver.py
+++ b/tamarindfold/membership/driver.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import gevent
 from gevent import socket
-from gevent.event import Event
 
+from tamarindfold.ds.backoff import Backoff
 from tamarindfold.ds.durable import replace
 from tamarindfold.interface import FleetUpdate, ListKind
+from tamarindfold.links.follower import Follower
+from tamarindfold.links.link import Link
 from tamarindfold.membership.feed import FleetList
 
 LINE_BYTES = 4 << 20
@@ -18,17 +19,16 @@
 
 
 class FeedFollower:
-    """One greenlet: connects, reads lines, tells each update, and begins anew after any fault."""
+    """Reads lines, tells each update, and begins anew after any fault."""
 
     def __init__(self, address: tuple[str, int], reconnect_ms: float, saved_at: Path | None,
                  tell: Callable[[FleetUpdate], None], log: Callable[..., None],
                  source_address: str = "") -> None:
-        self.address, self.reconnect_s, self.saved_at = address, reconnect_ms / 1000, saved_at
-        self.tell, self.log = tell, log
-        self.source = (source_address, 0) if source_address else None
+        self.saved_at, self.tell, self.log = saved_at, tell, log
         self.fleet = FleetList()
-        self.heard = Event()  # set from the feed's first line on: the saved list may be out of date
-        self._greenlet: gevent.Greenlet | None = None
+        pause_s = reconnect_ms / 1000
+        self.follower = Follower(Link(address, CONNECT_S, Backoff(pause_s, pause_s), source_address),
+                                 self._read, self._lost)
 
     def start(self) -> None:
         """Tell the saved list, if there is one, then follow the feed."""
@@ -37,38 +37,29 @@
                 self.tell(self.fleet.restore(self.saved_at.read_bytes()))
             except (OSError, ValueError) as error:
                 self.log("fleet.saved_list_unusable", path=str(self.saved_at), reason=str(error))
-        self._greenlet = gevent.spawn(self._follow)
+        self.follower.start()
 
     def stop(self) -> None:
-        """End the greenlet."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        """End it."""
+        self.follower.stop()
 
-    def _follow(self) -> None:
-        while True:
-            try:
-                self._read_feed()
-                reason = "closed"
-            except (OSError, ValueError) as error:
-                reason = str(error)
-            self.log("fleet.feed_lost", reason=reason, version=self.fleet.version)
-            self.fleet.version = -1  # what was missed is not known: only a full list counts now
-            self.tell(FleetUpdate(ListKind.FAILED, []))
-            gevent.sleep(self.reconnect_s)
+    def _lost(self, reason: Exception | None) -> None:
+        self.log("fleet.feed_lost", reason=str(reason or "closed"), version=self.fleet.version)
+        self.fleet.version = -1  # what was missed is not known: only a full list counts now
+        self.tell(FleetUpdate(ListKind.FAILED, []))
 
-    def _read_feed(self) -> None:
-        with socket.create_connection(self.address, CONNECT_S, self.source) as sock:
-            sock.settimeout(None)
-            rest = b""
-            while data := sock.recv(65536):
-                *lines, rest = (rest + data).split(b"\n")
-                for line in lines:
-                    self.tell(self.fleet.take(line))
-                if lines:
-                    self.heard.set()
-                    self._save()
-                if len(rest) > LINE_BYTES:
-                    raise ValueError("feed: a line without an end")
+    def _read(self, sock: socket.socket) -> None:
+        sock.settimeout(None)
+        rest = b""
+        while data := sock.recv(65536):
+            *lines, rest = (rest + data).split(b"\n")
+            for line in lines:
+                self.tell(self.fleet.take(line))
+            if lines:
+                self.follower.well()
+                self._save()
+            if len(rest) > LINE_BYTES:
+                raise ValueError("feed: a line without an end")
 
     def _save(self) -> None:
         """Written beside and renamed: a crash leaves the old list or the new one, never half of one."""
--- a/tamarindfold/modelcheck/leases.py
+++ b/tamarindfold/modelcheck/leases.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from tamarindfold.agreement.consensus import Action, Chose, Disk, Here, Keeper, Send
+from tamarindfold.agreement.consensus import Action, Disk, Here, Keeper, Send
 from tamarindfold.agreement.document import LEAST_PART, Document
 from tamarindfold.agreement.lease import Acting, Lease, Renew, Renewed
 from tamarindfold.agreement.log import Newcomer, Proposed
@@ -322,8 +322,6 @@
                 if isinstance(what, Here):
                     what = Here(what.ballot, what.number, self.reports[me].news(self.now))
                 self.boxes.setdefault((me, action.to), []).append(what)
-            elif isinstance(action, Chose):
-                self.stewards[me].chosen(self.now, action.number)
 
     # ---- what must hold
 
--- a/tamarindfold/modelcheck/simulated.py
+++ b/tamarindfold/modelcheck/simulated.py
@@ -93,7 +93,6 @@
             elif isinstance(action, Outcome):
                 self.outcomes[action.ticket] = action
             elif isinstance(action, Chose):
-                self.stewards[k].chosen(self.now, action.number)
                 waiting, self.waiting[k] = self.waiting[k], []
                 for i, asked in waiting:
                     self._answer(k, i, asked)
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -71,8 +71,7 @@
                                    self.steady.now, self.core.counted, self.log, limits.counter_keep_ms)
             self.core.count = self.counter.call
         # Guards against sends by a list from before a restart: clients come as soon as this listens.
-        if not self.watch.heard.wait(limits.first_list_ms / 1000):
-            self.log("fleet.first_line_awaited_in_vain", generation=self.book.generation)
+        self.watch.follower.first(limits.first_list_ms, self.log)
         self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
         self.listener.max_accept = ACCEPT_AT_ONCE
         self.listener.init_socket()
--- a/tamarindfold/rehearsal/marks.py
+++ b/tamarindfold/rehearsal/marks.py
@@ -14,7 +14,7 @@
 import gevent
 from gevent import socket
 
-from tamarindfold.http1 import write
+from tamarindfold.http1.ask import ask
 from tamarindfold.http1.responses import BadResponse, ResponseReader
 from tamarindfold.standins.ledger import Entry, Ledger
 
@@ -58,11 +58,8 @@
                 newest = self.newest()
                 for mark in range(max(1, newest - NEWEST + 1), newest + 1):
                     start = self.clock()
-                    reader.begin()
-                    sock.sendall(write.request("GET", f"/mark/{mark}".encode(), address.encode(), []))
-                    reader.read(sock.recv)
-                    self.ledger.note(self.clock(), "mark", index=i, mark=mark, start=start,
-                                     status=reader.status)
+                    status, _ = ask(sock, reader, "GET", f"/mark/{mark}", address)
+                    self.ledger.note(self.clock(), "mark", index=i, mark=mark, start=start, status=status)
                 gevent.sleep(EVERY_S)
 
 
--- a/tamarindfold/rehearsal/processes.py
+++ b/tamarindfold/rehearsal/processes.py
@@ -12,7 +12,7 @@
 import msgspec
 from gevent import socket, subprocess
 
-from tamarindfold.http1 import write
+from tamarindfold.http1.ask import ask
 from tamarindfold.http1.responses import ResponseReader
 
 READY_S = 30.0
@@ -104,13 +104,11 @@
     def command(self, method: str, path: str, body: Any = None) -> Any:
         """One admin call; RuntimeError where it is turned down."""
         host, _, port = self.admin.rpartition(":")
-        reader = ResponseReader(1 << 20)
+        data = msgspec.json.encode(body) if body is not None else b""
         with socket.create_connection((host, int(port)), timeout=5) as sock:
-            data = msgspec.json.encode(body) if body is not None else b""
-            headers = [(b"connection", b"close")]
-            sock.sendall(write.request(method, path.encode(), self.admin.encode(), headers, data))
-            reader.read(sock.recv)
-        answer = msgspec.json.decode(reader.body)
-        if reader.status != 200:
+            status, told = ask(sock, ResponseReader(1 << 20), method, path, self.admin, data,
+                               [(b"connection", b"close")])
+        answer = msgspec.json.decode(told)
+        if status != 200:
             raise RuntimeError(f"{self.name}: {method} {path}: {answer}")
         return answer
--- a/tamarindfold/supervisor/driver.py
+++ b/tamarindfold/supervisor/driver.py
@@ -14,7 +14,7 @@
 from gevent import subprocess
 from gevent.event import Event
 from gevent.queue import Empty, Queue
-from msgspec import Meta
+from msgspec import Meta, field
 
 from tamarindfold.config.model import Count, MsAboveNought, Section, Word
 from tamarindfold.supervisor.policy import Action, Policy, Restarts, Spec, Start
@@ -47,6 +47,7 @@
     """The whole file. Relative paths in `run` are from the folder it is started in."""
 
     programs: Annotated[list[ProgramConfig], Meta(min_length=1)]
+    prepare: list[list[str]] = field(default_factory=list)  # words of commands that are run once, before all
     logs: str = "out/fleet"
     up_ms: MsAboveNought = 3_600_000  # everything ends after this, whatever happens
     most_programs: Count = 200
@@ -92,6 +93,8 @@
         until = self.now() + self.file.up_ms
         good = True
         try:
+            if not all(map(self._prepare, self.file.prepare)):
+                return False
             self._carry_out(self.policy.tick(self.now()))
             while not self.policy.done:
                 if (self.halt.is_set() or self.now() >= until) and not self.policy.stopping:
@@ -120,6 +123,14 @@
             self.say(f"{name}: given up")
         return good and not self.policy.given_up
 
+    def _prepare(self, words: list[str]) -> bool:
+        """Run a command to its end; whether it ended well."""
+        with open(self.logs / "prepare.log", "ab") as log:
+            status = subprocess.call([sys.executable, "-m", "tamarindfold.cli.main", *words], stdout=log,
+                                     stderr=log)
+        self.say(f"prepare {' '.join(words)}: {'done' if status == 0 else f'ended with {status}'}")
+        return bool(status == 0)
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Start):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -94,7 +94,7 @@
     rigs = [gateway(rig, desk, tmp_path, i) for i in range(3)]
     caught_up(desk, *rigs)
     for r in rigs:
-        r.ingress.identity.greenlets[0].kill()
+        r.ingress.identity.news.stop()
     old_name, old = desk.key("anna")
     for r in rigs:
         assert r.ask(token=old).status == 200
@@ -199,7 +199,7 @@
     rigs = [gateway(rig, desk, tmp_path, i) for i in range(3)]
     _, key = desk.key("anna")
     caught_up(desk, *rigs)
-    rigs[2].ingress.identity.greenlets[0].kill()
+    rigs[2].ingress.identity.news.stop()
     desk.do(SetPlan("anna", "small", 1, desk.now() + 1.0))
     caught_up(desk, *rigs[:2])
     until = desk.now() + 50
