--- a/tamarindfold/rehearsal/day.py
+++ b/tamarindfold/rehearsal/day.py
@@ -237,8 +237,10 @@
         mortal = ("server", "instance", "registry", "keeper")
         if event.do in ("kill", "start", "stall") and kind not in mortal:
             raise ValueError(f"{where}.target: {event.do} is for any of: {', '.join(mortal)}")
-        if event.do in ("fill", "empty", "wipe") and kind != "keeper":
+        if event.do in ("fill", "empty") and kind != "keeper":
             raise ValueError(f"{where}.target: {event.do} is for a keeper")
+        if event.do == "wipe" and kind not in ("keeper", "instance"):
+            raise ValueError(f"{where}.target: wipe is for a keeper or an instance")
         if event.do == "step" and event.target not in day.clocks:
             raise ValueError(f"{where}.target: only a clock of its own (clocks) can be stepped")
         if (event.do == "fault") != (event.fault is not None):
--- a/tamarindfold/rehearsal/fleet.py
+++ b/tamarindfold/rehearsal/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import shutil
 import signal
 from functools import partial
 from pathlib import Path
@@ -271,8 +272,7 @@
             case ("drain" | "ready" | "remove") as do, "server":
                 self._list(number, {"drain": "draining", "ready": "ready", "remove": "gone"}[do])
             case "kill", "instance":
-                self.ledger.note(self.clock(), "instance_down", index=number)
-                self.gateways[number].kill()
+                self._kill_gateway(number)
             case "start", "instance":
                 self._start_gateway(number)
             case "kill", "registry":
@@ -306,6 +306,10 @@
             program = agreed.programs[number] if kind == "keeper" else self.gateways[number]
             program.signal(signal.SIGUSR2)
             return True
+        if kind == "instance" and event.do == "wipe":  # its machine is lost with its disk
+            self._kill_gateway(number)
+            shutil.rmtree(self.out / "state" / f"gateway-{number}", ignore_errors=True)
+            return True
         if kind != "keeper":
             return False
         match event.do:
@@ -320,6 +324,10 @@
                 self._later(event.for_ms, agreed.programs[number].signal, signal.SIGCONT)
         return True
 
+    def _kill_gateway(self, number: int) -> None:
+        self.ledger.note(self.clock(), "instance_down", index=number)
+        self.gateways[number].kill()
+
     def _standin(self, kind: str, number: int) -> StandinProgram:
         if kind == "server":
             return self.servers[number]
