--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -188,6 +188,7 @@
     gateway = Gateway(Settings(1, 0, (RequestClass(100, 1000, 1, Effect.SAFE),), (Plan(0, 0),), 1, 1.0, 0.0,
                                1.0, 1.0, 0.0), 1)
     made = [kind(gateway, lambda: 0.0, lambda *_, **__: None) for kind in (Core, _Before)]
+    made[0].led_until_ms = 1e18
     number = 200_000
     took = [min(timeit.repeat(partial(core.turned, False), number=number, repeat=9)) for core in made]
     return (took[0] - took[1]) / number * 1e9
--- a/tamarindfold/ingress/agreed.py
+++ b/tamarindfold/ingress/agreed.py
@@ -106,7 +106,7 @@
     def _settle(self, acting: Acting, newcomer: bool = False) -> None:
         assert self.ingress is not None
         core = self.ingress.core
-        core.led_until_ms = self.agreement.led_until_ms if acting.led else float("inf")
+        core.led_until_ms = self.agreement.led_until_ms if acting.led else None
         before = self.applied
         if acting == before:
             return
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -77,7 +77,8 @@
         self.awake = GeventEvent()  # not set in the moments after a standstill
         self.awake.set()
         self.recorder: Memory | None = None
-        self.led_until_ms = math.inf  # by the monotonic clock: then the settings may be in force no more
+        # by the monotonic clock: then the settings may be in force no more; None: they are its own
+        self.led_until_ms: float | None = None
         self.lease_ended: Callable[[], None] = lambda: None  # settles that, before anything is decided
         self.now = 0.0  # of the event in the module's hands
         self.still_known: Callable[[Any], bool] | None = None  # whether a credential is good still
@@ -170,8 +171,8 @@
         After a standstill the answers, time-outs and requests of all that time lie there at once, and among
         them perhaps the news that a server is to be left alone: for a moment only news are taken in.
         """
-        if monotonic() * 1000 >= self.led_until_ms:
-            self.led_until_ms = math.inf
+        if self.led_until_ms is not None and monotonic() * 1000 >= self.led_until_ms:
+            self.led_until_ms = None
             self.lease_ended()
         now = self.clock()
         gone = now - self.turned_at
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -21,6 +21,7 @@
 from tamarindfold.agreement.state import Refused, State, decode, encode
 from tamarindfold.agreement.steward import Steward
 from tamarindfold.cli.main import cli
+from tamarindfold.identity.files import make_pair
 from tamarindfold.interface import Plan, Refuse, Send as SendOn, SettingsChanged
 from tamarindfold.keeper.disk import LogFile
 
@@ -318,6 +319,8 @@
     (["keeper", "FILE"], "me: 3\nkeepers: ['127.0.0.1:1']\nstate_dir: x\nkey: y\n", "me: 3 is not below"),
     (["keeper", "FILE"], "me: 0\nkeepers: ['127.0.0.1:1', '127.0.0.1:2']\nstate_dir: x\nkey: y\n", "bear no more losses"),
     (["keeper", "FILE"], "me: 0\nkeepers: ['127.0.0.1:1']\nstate_dir: x\nkey: /nowhere\n", "/nowhere"),
+    (["keeper", "FILE"], "me: 0\nkeepers: ['127.0.0.1:1']\nstate_dir: x\nkey: KEY\nfirst_settings: /none.yaml\n",
+     "/none.yaml"),
     (["settings", "--keepers", "127.0.0.1:1", "--key", "/nowhere", "show"], "", "/nowhere"),
     (["settings", "show"], "", "--keepers and --key are needed"),
     (["settings", "propose", "FILE", "--reason", "r"], "classes: []\n", "classes"),
@@ -328,7 +331,8 @@
 ])
 def test_bad_input_is_one_line(tmp_path: Path, words: list[str], text: str, said: str) -> None:
     file = tmp_path / "file.yaml"
-    file.write_text(text)
+    make_pair(tmp_path / "fleet")
+    file.write_text(text.replace("KEY", str(tmp_path / "fleet.key")).replace("state_dir: x", f"state_dir: {tmp_path}/x"))
     result = CliRunner().invoke(cli, [str(file) if w == "FILE" else w for w in words])
     assert isinstance(result.exception, ValueError) and said in str(result.exception)
     assert "\n" not in str(result.exception)
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -143,6 +143,16 @@
     assert lines[0].startswith("counter: ready") and lines[-2:] == ["tokens: ended 0", "counter: ended 0"]
 
 
+def test_commands_are_run_before_all_and_one_that_fails_lets_nothing_start(tmp_path) -> None:
+    keys = f"prepare: [[settings, keys, --if-missing, {tmp_path}/fleet]]\n"
+    for _ in range(2):  # keys that are there stay
+        child, out, err = run(tmp_path, keys + fleet_file(tmp_path), "up", "--seconds", "2")
+        assert child.returncode == 0, err
+        assert out.splitlines()[0].endswith("done") and (tmp_path / "fleet.key").exists()
+    child, out, _ = run(tmp_path, "prepare: [[check, no-such-file.yaml]]\n" + fleet_file(tmp_path), "up")
+    assert child.returncode == 1 and out.splitlines() == ["prepare check no-such-file.yaml: ended with 2"]
+
+
 def test_a_program_that_dies_is_started_again_and_then_given_up(tmp_path) -> None:
     text = f"logs: {tmp_path}/logs\nprograms:\n  - {{name: bad, run: [check, no-such-file.yaml], restarts: {{most: 1, first_ms: 1}}}}\n"
     child, out, _ = run(tmp_path, text, "up", "--seconds", "30")
