Without a lease an instance follows the shares that it says it has taken up

At fault: lease.py, _unled(): an acting member without a lease kept its old share and index, while its reports let the roster settle. Also read: a forced version that an instance can't apply was forgotten once the next one was tried (cannot_apply), what such an instance acted on kept its old share (agreed.py, _settle()), the narrower of two versions could have default_units above most_units, and a share could be nought where lost ones may act on everything. Change: _kept(); unfit versions are remembered; the last good settings with the share of now; a ten-millionth is kept back.

--- a/tamarindfold/agreement/document.py
+++ b/tamarindfold/agreement/document.py
@@ -134,6 +134,7 @@
 
 def _two(a: Document, b: Document) -> Document:
     safe_a, safe_b = a.safety, b.safety
+    most_units = min(a.customers.most_units, b.customers.most_units)
     routes = [replace(one, scope=" ".join(sorted({*one.scope.split(), *other.scope.split()}))
                       if one.scope != other.scope else one.scope, led_only=one.led_only or other.led_only)
               for one, other in _pairs(a.routes, b.routes, "method", "path", "cls") if other is not None]
@@ -141,7 +142,8 @@
         a, classes=[_class(one, other) for one, other in _pairs(a.classes, b.classes, "name")],
         plans=[_plan(one, other) for one, other in _pairs(a.plans, b.plans, "name")], routes=routes,
         fleet=replace(a.fleet, static=_servers(a.fleet.static, b.fleet.static)),
-        customers=replace(a.customers, most_units=min(a.customers.most_units, b.customers.most_units)),
+        customers=replace(a.customers, most_units=most_units,
+                          default_units=min(a.customers.default_units, most_units)),
         safety=replace(
             safe_a, start_capacity=min(safe_a.start_capacity, safe_b.start_capacity),
             cold_ms=max(safe_a.cold_ms, safe_b.cold_ms),
--- a/tamarindfold/agreement/driver.py
+++ b/tamarindfold/agreement/driver.py
@@ -152,9 +152,8 @@
         return self.lease.until(now_ms())
 
     def could(self, version: int, cannot: str) -> None:
-        """What was found out of the newest version on its way: whether it can be applied here."""
-        if (version, cannot) != (self.lease.ready, self.lease.cannot):
-            self.lease.ready, self.lease.cannot = version, cannot
+        """What was found out of the next version: whether it can be applied here."""
+        if self.lease.judged(version, cannot):
             self._hurry()
 
     def _hurry(self) -> None:
--- a/tamarindfold/agreement/lease.py
+++ b/tamarindfold/agreement/lease.py
@@ -15,7 +15,7 @@
 from tamarindfold.agreement import document as documents
 from tamarindfold.agreement.consensus import Fill
 from tamarindfold.agreement.document import LEAST_PART, Document
-from tamarindfold.agreement.state import State, decode
+from tamarindfold.agreement.state import Member, State, decode
 
 
 class Renew(Struct, frozen=True):
@@ -68,7 +68,8 @@
         self.replaces, self.zone = replaces, zone
         self.state = State()
         self.fresh: dict[int, float] = {}  # by keeper: when the last question was sent that it answered so
-        self.ready, self.cannot = 0, ""  # what the driver found out of the newest version on its way
+        self.ready, self.cannot = 0, ""  # what the driver found out of the next version
+        self.unfit: dict[int, str] = {}  # versions that can't be applied here, and why
         self.leaving = False
         self.share = 0.0  # what it acts on
         self.place = (0, 0)  # index, and the number of the entry that gave it
@@ -112,6 +113,16 @@
                 state.apply(entry)
                 self.state = state
 
+    def judged(self, version: int, cannot: str) -> bool:
+        """The driver found out whether a version can be applied here; whether that is news."""
+        if (version, cannot) == (self.ready, self.cannot):
+            return False
+        self.ready, self.cannot = version, cannot
+        self.unfit = {v: why for v, why in self.unfit.items() if v >= self.state.version}
+        if cannot:
+            self.unfit[version] = cannot
+        return True
+
     def restore(self, data: bytes, left: bool) -> None:
         """What an earlier life knew; unless it left, the least of its share is there to act on.
 
@@ -135,8 +146,8 @@
 
     @property
     def cannot_apply(self) -> bool:
-        """The version in force is one that this instance said it could not apply: somebody forced it."""
-        return bool(self.cannot) and self.ready == self.state.version
+        """The version in force is one that this instance can't apply: somebody forced it."""
+        return self.state.version in self.unfit
 
     def acting(self, now: float) -> Acting | None:
         """What to act on now; None where nothing is known at all."""
@@ -161,6 +172,12 @@
         return Acting(document, state.version, state.share, state.gateways(state.share), member.index, True,
                       member.number)
 
+    def _kept(self, member: Member | None) -> tuple[float, int]:
+        """Share and index without a lease: what it had, but for what it says that it has taken up since."""
+        if member is None:
+            return self.share, self.place[0]
+        return min(self.share, self.state.share), member.index if member.acting else self.place[0]
+
     def _unled(self, now: float) -> Acting:
         """The narrowest of what may be in force: the share it had, later the least; no repeats."""
         state, terms = self.state, self.state.terms
@@ -169,17 +186,14 @@
         document = self._narrow[1]
         member = state.members.get(self.life)
         long_ago = now - self.unled_at >= terms.unled_ms
-        share = self.share
-        if member is not None and not member.acting:
-            share = min(share, state.share)  # its place is not settled: what it had is still counted as its
+        share, index = self._kept(member)
         if long_ago and (self.share or self.restored):
             share = min(share or 1.0, terms.least_share * LEAST_PART)
         self.share = share
         gateways = state.gateways(share) if share else 1
-        index = self.place[0]
         if long_ago or index >= gateways:  # no place of its own: spread by its name
             index = int.from_bytes(self.life.encode()[:8], "big") % gateways
-        why = ("the version in force can't be applied: " + self.cannot if self.cannot_apply else
+        why = ("can't apply what is in force: " + self.unfit[state.version] if self.cannot_apply else
                "leaving" if self.leaving else "no place yet" if member is None or not member.acting else
                "no majority of keepers answers")
         return Acting(document, state.version, share, gateways, index, False, 0, why)
--- a/tamarindfold/agreement/state.py
+++ b/tamarindfold/agreement/state.py
@@ -23,6 +23,7 @@
 MOST_QUEUED = 16  # versions on their way
 KEPT_NOTES = 200  # versions in the history
 KEPT_DOCUMENTS = 20  # whole, of those that are in force no more
+KEPT_PART = 1e-7  # of every sum: where lost ones may act on all the rest, newcomers still have a share
 
 
 class Refused(ValueError):
@@ -125,7 +126,7 @@
 
     def gateways(self, share: float) -> int:
         """How many instances of this share there would be: what the module is told."""
-        return max(int(1 / share + 1 - 1e-9), *(place + 1 for place in self._places()), 1)
+        return max(int((1 - 2 * KEPT_PART) / share + 1 - 1e-9), *(place + 1 for place in self._places()), 1)
 
     def _places(self) -> set[int]:
         """The indices that somebody may act on."""
@@ -253,7 +254,7 @@
     def _even(self) -> float:
         """An equal part of what the lost ones do not hold."""
         left = max(0.0, 1.0 - sum(held.share for held in self.held.values()))
-        return left / max(1, len(self.members))
+        return max(KEPT_PART, left) * (1 - KEPT_PART) / max(1, len(self.members))
 
     def _free_index(self) -> int:
         used = self._places()
--- a/tamarindfold/ingress/agreed.py
+++ b/tamarindfold/ingress/agreed.py
@@ -10,7 +10,7 @@
 import gevent
 from msgspec.structs import replace
 
-from tamarindfold.agreement.document import Document, merged
+from tamarindfold.agreement.document import Document, cautious, merged, narrowest
 from tamarindfold.agreement.driver import Agreement, Taken
 from tamarindfold.agreement.lease import Acting
 from tamarindfold.config.addresses import split_address
@@ -39,6 +39,7 @@
         self.log = log
         self.ingress: Ingress | None = None
         self.applied: Acting | None = None
+        self.good: Document | None = None  # the last that could be applied
         keepers = [split_address(keeper, f"keepers[{i}]") for i, keeper in enumerate(section.keepers)]
         try:
             self.agreement = Agreement(
@@ -59,7 +60,13 @@
                                                   is None else f"no place in the roster: {acting.why}")
             self.agreement.stop()
             raise NotAgreed(reason)
-        self.ingress = Ingress(self._config(acting), self.log, number=crc32(self.agreement.name.encode()))
+        try:
+            config = self._config(acting)
+        except ValueError as error:
+            self.agreement.stop()
+            raise NotAgreed(f"version {acting.version}: {error}") from None
+        self.good = acting.document
+        self.ingress = Ingress(config, self.log, number=crc32(self.agreement.name.encode()))
         self.ingress.core.lease_ended = self.changed
         self.ingress.hindrance, self.ingress.agreement = self._hindrance, self.counts
         self._settle(acting, True)
@@ -97,8 +104,11 @@
             self.agreement.could(queue[0].version, cannot)
 
     def _fault(self, document: Document) -> str:
+        held = self.agreement.lease.state.document
+        steps = [document] if held is None else [document, narrowest([held, document])]
         try:
-            Admission(merged(self.local, document, 1, 0))
+            for step in steps:  # the narrower of both comes before it
+                Admission(merged(self.local, step, 1, 0))
         except ValueError as error:
             return str(error)
         return ""
@@ -111,12 +121,16 @@
         if acting == before:
             return
         self.applied = acting
+        led = acting.led
         try:
             config = self._config(acting)
-        except ValueError as error:  # forced by an operator: what it had goes on, as one that is not led
+            self.good = acting.document
+        except ValueError as error:  # forced by an operator: what it had goes on, with the share it has now
             self.log("agreement.cannot_apply", version=acting.version, reason=str(error))
-            config = self.ingress.config
-        self.ingress.settle(config, acting.led, newcomer)
+            assert self.good is not None
+            led = False
+            config = merged(self.local, cautious(self.good), acting.gateways, acting.index)
+        self.ingress.settle(config, led, newcomer)
         if before is None or (before.version, before.led, before.gateways, before.index) != (
                 acting.version, acting.led, acting.gateways, acting.index):
             self.log("agreement.acting", version=acting.version, led=acting.led, gateways=acting.gateways,
--- a/tamarindfold/modelcheck/planted.py
+++ b/tamarindfold/modelcheck/planted.py
@@ -117,12 +117,17 @@
     return True
 
 
+def _keeps_all(self: Lease, member: Any) -> tuple[float, int]:
+    return self.share, self.place[0]
+
+
 LEASE_FAULTS: dict[str, tuple[Any, str, Any]] = {
     "a lost instance is taken to be on the least share at once": (Steward, "_is_floored", _no_wait_for_floor),
     "a step goes on before all have taken it up": (Steward, "_has", _everybody_has),
     "a lost instance's share is handed out at once": (State, "_lose", _lose_and_forget),
     "a lease counts from the answer": (LeaseWorld, "counts_from_arrival", True),
     "one keeper's answer is a lease": (Lease, "until", _one_keeper_will_do),
+    "who has no lease keeps its share whatever it has taken up": (Lease, "_kept", _keeps_all),
     "a lease never ends": (Lease, "until", _never_ends),
     "a sum is lowered without a joint step": (documents, "needs_joint", _no_joint),
     "a sum is lowered whatever lost instances may act on": (State, "bearable", _bearable),
