What instances told a keeper is put into its answer to the leader as that leaves

Seen in a last reading: an answer that waited on a slow link was replaced by a newer one, and the reports in it were lost until the instances said them again (keeper/server.py, PeerLink.say). Change: the news are put in when the batch is sent.

--- a/tamarindfold/agreement/consensus.py
+++ b/tamarindfold/agreement/consensus.py
@@ -96,7 +96,7 @@
 
 
 class Here(_Said, frozen=True):
-    """So is this keeper, which knows so many chosen; news: what instances told it (agreement.steward)."""
+    """So is this keeper, which knows so many chosen; news: what instances told it, put in by who sends it."""
 
     ballot: Ballot
     number: int
@@ -195,7 +195,6 @@
         self.proposal: Entry | None = None  # the leader's, not chosen yet
         self.ticket = 0  # whose proposal that is; 0: nobody's here
         self.offers: deque[tuple[int, Body]] = deque()
-        self.news = b""  # handed on to the leader with the next beat
         self.actions: list[Action] = []
 
     # ---- looks
@@ -480,8 +479,7 @@
         self._advance(ballot, number)
         if number > self.number:
             self._send(sender, Lack(self.number))
-        news, self.news = self.news, b""
-        self._send(sender, Here(ballot, self.number, news))
+        self._send(sender, Here(ballot, self.number))
 
     def _fill(self, now: float, what: Fill) -> None:
         """Chosen entries, from whoever knows them."""
--- a/tamarindfold/keeper/server.py
+++ b/tamarindfold/keeper/server.py
@@ -74,6 +74,10 @@
         self.queue.append(what)
         self.more.set()
 
+    def _with_news(self, what: Said) -> Said:
+        """What instances said goes with the answer to a beat as it leaves: none is replaced unsent."""
+        return replace(what, news=self.keeper.reports.news(now_ms())) if isinstance(what, Here) else what
+
     def run(self) -> None:
         """For ever."""
         self.link.keep(self._talk, self._lost)
@@ -92,7 +96,7 @@
             self.more.clear()
             if not self.queue:
                 continue
-            said = tuple(self.queue)
+            said = tuple(map(self._with_news, self.queue))
             self.queue.clear()
             body = wire.pack(wire.Batch(self.keeper.core.me, said), self.keeper.key, "keeper")
             status, _ = ask(sock, reader, "POST", "/v1/keeper", host, body)
@@ -165,8 +169,6 @@
                     case Save():
                         self.disk.write(action, self.core.state)
                     case Send(to, what):
-                        if isinstance(what, Here):
-                            what = Here(what.ballot, what.number, self.reports.news(now_ms()))
                         self.links[to].say(what)
                     case Outcome():
                         self._settle(action)
