Another past is told once, not with every answer; what nobody read is gone

Seen in a last reading: a log line for each answer of a keeper of another past, some twelve a second; an event that nobody waits for, two figures and a random source that nobody reads. Measured: the tests of the objects and those that start processes again.

--- a/tamarindfold/agreement/driver.py
+++ b/tamarindfold/agreement/driver.py
@@ -102,10 +102,9 @@
         self.followers = [
             Follower(Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S), source_address),
                      partial(self._talk, k), self._lost) for k, address in enumerate(keepers)]
-        self.news = Event()
         self.to_save = Event()
-        self.saved = 0
         self.hindrance = ""
+        self.strange: set[int] = set()  # keepers of another past
         self.counts = dict.fromkeys(
             ("answers", "changes", "lost", "bad", "other_past", "not_saved", "unled"), 0)
         self.greenlets: list[gevent.Greenlet] = []
@@ -194,8 +193,12 @@
         self.counts["answers"] += 1
         if answer.other_past:
             self.counts["other_past"] += 1
-            self.log("agreement.other_past", keeper=keeper, number=answer.number,
-                     held=self.lease.state.number)
+            if keeper not in self.strange:  # told once, not with every answer
+                self.log("agreement.other_past", keeper=keeper, number=answer.number,
+                         held=self.lease.state.number)
+            self.strange.add(keeper)
+        else:
+            self.strange.discard(keeper)
         if answer.hindrance != self.hindrance:
             self.hindrance = answer.hindrance
             if answer.hindrance:
@@ -203,8 +206,6 @@
         if new:
             self.counts["changes"] += 1
             self.to_save.set()
-            self.news.set()
-            self.news.clear()
         if new or not self.lease.led:
             self.changed()
 
@@ -226,7 +227,6 @@
             state = self.lease.state
             try:
                 gevent.get_hub().threadpool.apply(self.folder.write, (encode(state), False))
-                self.saved = state.number
             except OSError as error:
                 self.counts["not_saved"] += 1
                 self.log("agreement.not_saved", reason=str(error))
--- a/tamarindfold/agreement/lease.py
+++ b/tamarindfold/agreement/lease.py
@@ -78,7 +78,6 @@
         self.restored = False  # it lives on what an earlier life knew
         self.hindrance = ""
         self._narrow: tuple[int, Document] | None = None  # worked out once for each state
-        self.lost_sight = 0  # answers that showed another past
 
     # ---- asking
 
@@ -94,7 +93,6 @@
         """Take in an answer; whether the state changed. ValueError where the news do not follow."""
         self.hindrance = answer.hindrance
         if answer.other_past:
-            self.lost_sight += 1
             return False
         before = self.state.number
         self._take(answer.news)
--- a/tamarindfold/rehearsal/agreed.py
+++ b/tamarindfold/rehearsal/agreed.py
@@ -5,7 +5,6 @@
 import signal
 from collections.abc import Iterable
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import gevent
@@ -34,7 +33,7 @@
                  local: dict[int, dict[str, Any]] | None = None) -> None:
         """local: by instance, sections of its own file."""
         out.mkdir(parents=True, exist_ok=True)
-        self.out, self.clock, self.random = out, SteadyClock().now, Random(seed)
+        self.out, self.clock = out, SteadyClock().now
         self.path = out / "history.jsonl"
         self.ledger = Ledger(self.path)
         self.document = dict(document or DOCUMENT) | {"terms": terms or {}}
