One loop serves registry and keepers; a probe answered before a wake was not held

Read once more: the keeper had the registry's loop over a connection again (http1/serve now serves both), worded what came of a call in nine places, made its table of handlers for each request, aged reports twice, and an operator took the longest state for the newest.

--- a/tamarindfold/agreement/operator.py
+++ b/tamarindfold/agreement/operator.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from tamarindfold.agreement import wire
+from tamarindfold.agreement.state import decode
 from tamarindfold.http1.ask import ask
 from tamarindfold.http1.responses import BadResponse, ResponseReader
 from tamarindfold.identity.wire import BadUpdate
@@ -63,7 +64,7 @@
         """What the keeper sees that knows most; the leader's word goes first."""
         looks = self.looks()
         return next((look for look in looks if look.leader == look.keeper and look.proven), None) or max(
-            looks, key=lambda look: len(look.state))
+            looks, key=lambda look: decode(look.state).number)
 
     def tell(self, what: wire.Propose | wire.Command, seconds: float) -> wire.Told:
         """Have the leader do something; NoAnswer where it can't be known in time what came of it."""
--- a/tamarindfold/agreement/reports.py
+++ b/tamarindfold/agreement/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import msgspec
 from msgspec import Struct
@@ -48,10 +48,14 @@
             self.fresh.pop(gone, None)
             self.dropped += 1
 
+    def aged(self, now: float, lives: Iterable[str]) -> list[Report]:
+        """The reports of these, each with its age."""
+        return [msgspec.structs.replace(report, age_ms=now - at)
+                for at, report in (self.known[life] for life in lives if life in self.known)]
+
     def news(self, now: float) -> bytes:
         """What the leader has not been told yet."""
-        fresh = [msgspec.structs.replace(report, age_ms=now - at)
-                 for at, report in (self.known[life] for life in self.fresh if life in self.known)]
+        fresh = self.aged(now, self.fresh)
         self.fresh.clear()
         return msgspec.msgpack.encode(fresh) if fresh else b""
 
--- a/tamarindfold/agreement/steward.py
+++ b/tamarindfold/agreement/steward.py
@@ -14,7 +14,6 @@
 from tamarindfold.agreement.reports import Report, Reports
 from tamarindfold.agreement.state import Held, Pending, State
 
-SILENT_PART = 1.0  # of the window: an instance that no keeper has heard for so long is lost
 DRIFT = 0.02  # clocks may differ by this part of the time
 
 
@@ -70,7 +69,7 @@
         newcomers = self._newcomers(now, state, [report for _, (_, report) in seen])
         if newcomers:
             return Joined(newcomers)
-        silent_ms = SILENT_PART * state.terms.window_ms
+        silent_ms = state.terms.window_ms
         if now - self.began > silent_ms:
             lost = [m for m in state.members.values()
                     if self.reports.heard_ago(now, m.life) > silent_ms]
@@ -83,7 +82,7 @@
         return None
 
     def _newcomers(self, now: float, state: State, seen: list[Report]) -> tuple[Newcomer, ...]:
-        silent_ms = SILENT_PART * state.terms.window_ms
+        silent_ms = state.terms.window_ms
         found: list[Newcomer] = []
         for report in seen:
             if (report.wants == "join" and report.life not in state.members and state.document is not None
--- a/tamarindfold/keeper/server.py
+++ b/tamarindfold/keeper/server.py
@@ -30,8 +30,9 @@
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.http1 import write
 from tamarindfold.http1.ask import ask
-from tamarindfold.http1.requests import Rejected, Request, RequestReader
+from tamarindfold.http1.requests import Request, RequestReader
 from tamarindfold.http1.responses import ResponseReader
+from tamarindfold.http1.serve import serve
 from tamarindfold.identity.files import signing_key
 from tamarindfold.keeper.config import KeeperConfig
 from tamarindfold.keeper.disk import DiskFailed, LogFile
@@ -130,6 +131,9 @@
         self.links = {k: PeerLink(self, k, address) for k, address in enumerate(config.keepers)
                       if k != config.me}
         self.greenlets: list[gevent.Greenlet] = []
+        self.handlers: dict[bytes, Callable[[bytes], tuple[int, bytes]]] = {
+            b"/v1/keeper": self._heard, b"/v1/renew": self._renew, b"/v1/propose": self._propose,
+            b"/v1/command": self._command, b"/v1/look": self._look}
         self.counts = dict.fromkeys(("renewals", "proposals", "refused", "bad", "disk_failed", "stalls",
                                      "elected"), 0)
 
@@ -268,33 +272,23 @@
     # ---- requests
 
     def _serve(self, sock: socket.socket, _peer: object) -> None:
-        reader = RequestReader(16_384, 100, wire.BODY_BYTES)
         try:
             sock.settimeout(IDLE_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while data := sock.recv(65536):
-                reader.feed(data)
-                while reader.ready:
-                    request = reader.ready.popleft()
-                    status, body = self._answer(request)
-                    sock.sendall(write.response(status, [(b"content-type", b"application/x-protobuf")], body,
-                                                request.keep_alive))
-        except Rejected as fault:
-            sock.sendall(write.response(fault.status, [], fault.detail.encode(), False))
-        except OSError:
-            pass
+            serve(sock, RequestReader(16_384, 100, wire.BODY_BYTES), self._response)
         finally:
             sock.close()
 
+    def _response(self, request: Request) -> bytes:
+        status, body = self._answer(request)
+        kind = (b"content-type", b"application/x-protobuf")
+        return write.response(status, [kind], body, request.keep_alive)
+
     def _answer(self, request: Request) -> tuple[int, bytes]:
         if self.broken:
             return 503, b"the disk failed"
-        handlers: dict[str, Callable[[bytes], tuple[int, bytes]]] = {
-            "/v1/keeper": self._heard, "/v1/renew": self._renew, "/v1/propose": self._propose,
-            "/v1/command": self._command, "/v1/look": self._look}
-        handler = handlers.get(request.target.decode("ascii", "replace"))
+        handler = self.handlers.get(request.target)
         if handler is None or request.method != "POST":
-            return 404, b"POST " + ", ".join(handlers).encode()
+            return 404, b"POST " + b", ".join(self.handlers)
         try:
             return handler(request.body)
         except ValueError as error:
@@ -350,21 +344,21 @@
             return asked.chain != core.entries[asked.number - core.first].past
         return False
 
-    def _told(self, told: wire.Told) -> tuple[int, bytes]:
-        return 200, wire.pack(told, self.key, "told")
+    def _told(self, version: int, reason: str = "", again: bool = False) -> tuple[int, bytes]:
+        return 200, wire.pack(wire.Told(version, reason, self.core.leader, again), self.key, "told")
 
     def _propose(self, body: bytes) -> tuple[int, bytes]:
         asked = wire.unpack(body, wire.Propose, self.public, "propose")
         self.counts["proposals"] += 1
         if (version := self._version_of(asked.token)):
-            return self._told(wire.Told(version, leader=self.core.leader))
+            return self._told(version)
         outcome = self._offer(Proposed(asked.document, asked.base, asked.author, asked.reason, asked.token,
                                        time.time() * 1000, asked.first))
         # its first sending may have come through meanwhile, and then refused this one
         if (version := self._version_of(asked.token)):
-            return self._told(wire.Told(version, leader=self.core.leader))
+            return self._told(version)
         self.counts["refused"] += 1
-        return self._told(wire.Told(0, outcome.reason, self.core.leader, outcome.lost))
+        return self._told(0, outcome.reason, outcome.lost)
 
     def _version_of(self, token: str) -> int:
         return next((n.version for n in reversed(self.core.state.notes) if n.token == token), 0)
@@ -373,30 +367,29 @@
         asked = wire.unpack(body, wire.Command, self.public, "command")
         state = self.core.state
         if not self.core.leads:
-            return self._told(wire.Told(0, "not the leader", self.core.leader, True))
+            return self._told(0, "not the leader", True)
         self.log("keeper.command", what=asked.what, version=asked.version, name=asked.name, by=asked.author)
         if asked.what == "force" and state.dropped is not None and state.dropped.version == asked.version:
             return self._force_dropped(asked, state.dropped)
         if asked.what in ("force", "widen", "drop"):
             if not state.queue or state.queue[0].version != asked.version:
-                return self._told(wire.Told(0, f"version {asked.version} is not the next in line"))
+                return self._told(0, f"version {asked.version} is not the next in line")
             if asked.what == "drop":
                 if state.phase:
-                    return self._told(wire.Told(0, "some act on it already: propose the old settings anew"))
+                    return self._told(0, "some act on it already: propose the old settings anew")
                 return self._wrote(self._offer(Dropped(asked.version, (f"taken back by {asked.author}",))),
                                    asked.version)
             (self.steward.forced if asked.what == "force" else self.steward.widened).add(asked.version)
-            return self._told(wire.Told(asked.version, leader=self.core.leader))
+            return self._told(asked.version)
         if asked.what == "retire":
             lives = tuple(life for life, h in state.held.items() if h.name == asked.name)
             if not lives:
-                return self._told(wire.Told(0, f"no instance {asked.name} is away with a share"))
+                return self._told(0, f"no instance {asked.name} is away with a share")
             return self._wrote(self._offer(Left(lives)), state.version)
         raise ValueError(f"no command {asked.what!r}")
 
     def _wrote(self, outcome: Outcome, version: int) -> tuple[int, bytes]:
-        return self._told(wire.Told(version if outcome.number else 0, outcome.reason, self.core.leader,
-                                    outcome.lost))
+        return self._told(version if outcome.number else 0, outcome.reason, outcome.lost)
 
     def _force_dropped(self, asked: wire.Command, dropped: Pending) -> tuple[int, bytes]:
         """What instances refused is put in force as a version of its own, once."""
@@ -407,15 +400,11 @@
                                            forced=True))
             if not outcome.number:
                 return self._wrote(outcome, 0)
-        return self._told(wire.Told(self._version_of(token), leader=self.core.leader))
+        return self._told(self._version_of(token))
 
     def _look(self, body: bytes) -> tuple[int, bytes]:
         now, core = now_ms(), self.core
-        reports = tuple(self._aged(now, at, report) for at, report in self.reports.known.values())
-        look = wire.Look(core.me, core.leader, core.proven, core.certain, encode(core.state), reports,
+        reports = self.reports.aged(now, self.reports.known)
+        look = wire.Look(core.me, core.leader, core.proven, core.certain, encode(core.state), tuple(reports),
                          self.steward.waits_for(now, core.state) if core.leads else "")
         return 200, wire.pack(look, self.key, "look")
-
-    @staticmethod
-    def _aged(now: float, at: float, report: Report) -> Report:
-        return replace(report, age_ms=now - at)
--- a/tamarindfold/registry/server.py
+++ b/tamarindfold/registry/server.py
@@ -17,7 +17,8 @@
 from gevent.server import StreamServer
 
 from tamarindfold.http1 import write
-from tamarindfold.http1.requests import Rejected, Request, RequestReader
+from tamarindfold.http1.requests import Request, RequestReader
+from tamarindfold.http1.serve import serve
 from tamarindfold.identity.store import Store, StoreError
 from tamarindfold.identity.wire import Unchanged
 from tamarindfold.identity.wire import write as envelope
@@ -75,18 +76,8 @@
 
     def _serve(self, sock: socket.socket, _peer: object) -> None:
         self.sockets.add(sock)
-        reader = RequestReader(16_384, 100, BODY_BYTES)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while data := sock.recv(65536):
-                reader.feed(data)
-                while reader.ready:
-                    request = reader.ready.popleft()
-                    sock.sendall(self._answer(request))
-        except Rejected as fault:
-            sock.sendall(write.response(fault.status, [], fault.detail.encode(), False))
-        except OSError:
-            pass
+            serve(sock, RequestReader(16_384, 100, BODY_BYTES), self._answer)
         finally:
             self.sockets.discard(sock)
             sock.close()
--- a/tamarindfold/rehearsal/fleet.py
+++ b/tamarindfold/rehearsal/fleet.py
@@ -282,8 +282,8 @@
                 assert self.registry is not None
                 self.registry.start()
             case "stall", "instance":
+                halt(self.gateways[number])  # what is noted as stopped does stand still from then on
                 self.ledger.note(self.clock(), "instance_stalls", index=number, for_ms=event.for_ms)
-                halt(self.gateways[number])
                 self._later(event.for_ms, self._resume, number)
             case "stall", "server":
                 fault = {"kind": "stall", "for_ms": event.for_ms}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -161,3 +161,5 @@
     woken = [{"t": 80, "what": "instance_stalls", "index": 1}, {"t": 1250, "what": "instance_resumes", "index": 1}]
     assert contradictions([*first, *woken, mark(1300, 1, 1, start=90)], 1000).breaches
     assert not contradictions([*first, mark(1300, 1, 1, 503)], 1000).breaches
+    answered = mark(95, 1, 1, start=90)  # before it was woken: it was under way as the stop was noted
+    assert not contradictions([*first, *woken, answered], 1000).breaches
