--- a/tamarindfold/links/follower.py
+++ b/tamarindfold/links/follower.py
@@ -39,10 +39,10 @@
         self.heard.set()
         self.link.backoff.well()
 
-    def first(self, most_ms: float, log: Callable[..., None]) -> None:
+    def first(self, most_ms: float, log: Callable[..., None], **held: object) -> None:
         """Wait for the first word. Guards against acting on what an earlier life knew while news come."""
         if not self.heard.wait(most_ms / 1000):
-            log("fleet.first_line_awaited_in_vain")
+            log("fleet.first_line_awaited_in_vain", **held)
 
     def _ended(self, reason: Exception | None) -> None:
         self.counts["lost"] += 1
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -71,7 +71,7 @@
                                    self.steady.now, self.core.counted, self.log, limits.counter_keep_ms)
             self.core.count = self.counter.call
         # Guards against sends by a list from before a restart: clients come as soon as this listens.
-        self.watch.follower.first(limits.first_list_ms, self.log)
+        self.watch.follower.first(limits.first_list_ms, self.log, generation=self.book.generation)
         self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
         self.listener.max_accept = ACCEPT_AT_ONCE
         self.listener.init_socket()
