--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -49,6 +49,7 @@
     header_timeout_ms: MsAboveNought = 5_000
     body_bytes: Count = 262_144
     body_timeout_ms: MsAboveNought = 10_000
+    ahead_bytes: Count = 16_384  # of further requests, kept while an answer is awaited; more stays unread
     idle_timeout_ms: MsAboveNought = 75_000
     write_timeout_ms: MsAboveNought = 5_000
     answer_bytes: Count = 1_048_576
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -1,4 +1,9 @@
-"""The one place that calls the module: events in, actions out, one after another."""
+"""The one place that calls the module: events in, actions out, one after another.
+
+A request may end from outside while events about it wait (after a standstill): it stays in `withdrawn` until
+the module has heard of that, so that each Send has an outcome all the same, and what never reached the module
+is not decided any more.
+"""
 
 from __future__ import annotations
 
@@ -68,6 +73,7 @@
         self.sender: Sender | None = None
         self.count: Callable[[Count], None] | None = None
         self.open: dict[int, Exchange] = {}
+        self.withdrawn: dict[int, Exchange] = {}  # ended from outside, and the module was not told yet
         self.fleet: dict[int, BackendEntry] = {}
         # before everything else of the same turn
         self.news: deque[FleetUpdate | SettingsChanged | StoodStill] = deque()
@@ -85,8 +91,8 @@
         self.numbers = 0
         self.limits = OpenLimits(gateway.settings.gateways, gateway.settings.index)
         self.counts = dict.fromkeys(
-            ("arrived", "served", "refused", "failed", "expired", "left", "lapsed", "attempts", "moot",
-             "stalls", *(f"refused_{why.value}" for why in Why)), 0)
+            ("arrived", "served", "refused", "failed", "expired", "left", "left_unsent", "left_sent",
+             "lapsed", "attempts", "moot", "stalls", *(f"refused_{why.value}" for why in Why)), 0)
 
     def requests(self) -> dict[str, float]:
         """What became of the requests, for the log; the units of the module's account among it."""
@@ -115,6 +121,9 @@
     def withdraw(self, exchange: Exchange, final: Final) -> None:
         """The request ends from outside the module: its client left, its token or its time ran out."""
         if self._finish(exchange, final):
+            if isinstance(final, Left):  # sent: before that could be known
+                self.counts["left_sent" if exchange.written else "left_unsent"] += 1
+            self.withdrawn[exchange.number] = exchange
             self.post(RequestWithdrawn(exchange.number))
 
     def attempt_ended(self, exchange: Exchange, attempt: int, backend: int, outcome: Outcome,
@@ -194,10 +203,12 @@
 
     def hindrance(self, exchange: Exchange, entry: BackendEntry | None) -> str:
         """Why the first byte of an attempt may not be written; empty where it may. Waits out the moment
-        after a standstill."""
+        after a standstill; behind that wait nothing yields, so what holds here holds at the write."""
         self.turned(False)
         if not self.awake.is_set():
             self.awake.wait()
+        if exchange.look is not None:
+            exchange.look()  # its client's end may lie there since this very turn
         if exchange.final is not None:
             return "over"
         if self.clock() >= exchange.give_up_ms:
@@ -226,9 +237,13 @@
         try:
             while self.news or (self.events and self.awake.is_set()):
                 event: Event = self.news.popleft() if self.news else self.events.popleft()
+                if isinstance(event, RequestArrived) and event.request in self.withdrawn:
+                    continue
                 self.now = self.clock()
                 for action in self.gateway.handle(self.now, event):
                     self._carry_out(action)
+                if isinstance(event, RequestWithdrawn):
+                    self.withdrawn.pop(event.request, None)
         finally:
             self.busy = False
             if self.recorder is not None:
@@ -239,7 +254,7 @@
             case Send(request, backend, timeout_ms):
                 exchange = self.open.get(request)
                 if exchange is None:
-                    self.log("core.send_after_end", request=request)
+                    self._never_sent(request, backend)
                     return
                 attempt, exchange.attempts = exchange.attempts, exchange.attempts + 1
                 self.counts["attempts"] += 1
@@ -272,6 +287,15 @@
             case _:
                 self.log("core.not_supported", action=type(action).__name__)
 
+    def _never_sent(self, request: int, backend: int) -> None:
+        """Decided before the module heard that nobody waits; without an outcome it would be out for ever."""
+        if (exchange := self.withdrawn.get(request)) is None:
+            self.log("core.send_after_end", request=request)
+            return
+        attempt, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        self.counts["moot"] += 1
+        self.events.append(AttemptEnded(request, attempt, backend, Outcome.MOOT, 0.0, True))
+
     def _finish(self, exchange: Exchange, final: Final) -> bool:
         if not exchange.finish(final):
             return False
--- a/tamarindfold/ingress/exchange.py
+++ b/tamarindfold/ingress/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -79,6 +80,7 @@
     written: int = 0  # attempts of which at least one byte went out
     final: Final | None = None
     todo: list[Any] | None = None  # attempts to be carried out by the request's greenlet
+    look: Callable[[], None] | None = None  # looks whether its client has left, and then withdraws it
     woken: Event | None = None  # made only where that greenlet has nothing to do but wait
 
     def work(self, attempt: Any) -> None:
--- a/tamarindfold/ingress/forward.py
+++ b/tamarindfold/ingress/forward.py
@@ -60,9 +60,9 @@
 
     def __init__(self, config: GatewayConfig, core: Core, door: Door, timers: Timers,
                  clock: Callable[[], float], log: Callable[..., None], number: int) -> None:
-        super().__init__(config, core, door, timers, clock, log, number)
         section = config.forward
         assert section is not None
+        super().__init__(config, core, door, timers, clock, log, number, section.connections)
         told = section.names
         self.section, self.trust = section, Trust(section.trusted)
         self.names = Names.of(told.method, told.uri, told.host, section.prefix, section.hosts)
@@ -236,8 +236,7 @@
         front, core = self.front, self.front.core
         sender = core.sender
         assert sender is not None
-        self.exchange = exchange
-        self._watch()
+        self._watch(exchange)
         try:
             core.arrive(exchange)
             while exchange.todo or exchange.final is None:
@@ -252,8 +251,7 @@
                     front.counts["overdue"] += 1  # nothing was sent: to refuse it is the truth
                     core.withdraw(exchange, Refused(front.section.decide_ms, Why.PRESSURE))
         finally:
-            self.watcher.stop()
-            self.exchange = None
+            self._unwatch(exchange)
             if exchange.final is None and exchange.number in core.open and not exchange.written:
                 core.withdraw(exchange, Left())  # this greenlet is being ended
         assert exchange.final is not None
--- a/tamarindfold/ingress/front.py
+++ b/tamarindfold/ingress/front.py
@@ -31,8 +31,9 @@
     """Serves client connections for one gateway."""
 
     def __init__(self, config: GatewayConfig, core: Core, door: Door, timers: Timers,
-                 clock: Callable[[], float], log: Callable[..., None], number: int) -> None:
-        super().__init__(config.limits, core, answers, timers, clock, log)
+                 clock: Callable[[], float], log: Callable[..., None], number: int,
+                 connections: int) -> None:
+        super().__init__(config.limits, core, answers, timers, clock, log, connections)
         self.door = door
         self.prefix = b"%d-%x-" % (number, int(clock()))
         self.networks = Networks((n.network, Rule(n.refuse, n.zone)) for n in config.networks
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -1,4 +1,8 @@
-"""Connections to one server each: kept while idle, dropped as soon as the other side is done with them."""
+"""Connections to one server each: kept while idle, dropped as soon as the other side is done with them.
+
+A connection belongs to the process that it was made to (`Peers.place`), never to a number or an address
+alone: it is looked at again whenever it changes hands, since the list may have changed meanwhile.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +28,7 @@
     sock: socket.socket
     reader: ResponseReader
     backend: int
+    place: object = None  # the process at its other end, as the list named it
     idle_until_ms: float = 0.0
     used: bool = False
 
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import gevent
-from gevent.pool import Pool as GreenletPool
 from gevent.server import StreamServer
 
 from tamarindfold.choice import Gateway
@@ -73,7 +72,8 @@
             config.instance.seed, clock, log)
         self.identity = self._identity(config, clock) if config.identity is not None else None
         self.door = door = Door(config, self.introspector, self.identity, log)
-        self.front = Front(config, self.core, door, self.timers, clock, log, self.number)
+        self.front = Front(config, self.core, door, self.timers, clock, log, self.number,
+                           config.limits.connections)
         self.forward = (ForwardFront(config, self.core, door, self.timers, clock, log, self.number)
                         if config.forward is not None else None)
         self.forward_listener: StreamServer | None = None
@@ -145,13 +145,13 @@
         listen, served = config.listen, []
         if "proxy" in derive.fronts(config):
             self.listener = StreamServer((listen.host, listen.port), self.front.serve, backlog=listen.backlog,
-                                         spawn=GreenletPool(config.limits.connections))
+                                         spawn=self.front.clients)
             self.listener.start()
             served.append((listen.host, self.listener.server_port))
         if self.forward is not None and (asking := config.forward) is not None:
             self.forward_listener = StreamServer(
                 (asking.host, asking.port), self.forward.serve, backlog=asking.backlog,
-                spawn=GreenletPool(asking.connections))
+                spawn=self.forward.clients)
             self.forward_listener.start()
             served.append((asking.host, self.forward_listener.server_port))
             self.log("forward.listening", host=asking.host, port=self.forward_listener.server_port)
@@ -200,15 +200,14 @@
     def stop(self) -> bool:
         """Stop accepting, finish what is held, close; False where something was still held at the end."""
         self.stopping = True
+        until = self.steady.now() + self.config.limits.stop_ms
         if self.listener is not None:
-            self.listener.close()
-        self.front.stop()
+            self.front.stop(self.listener)
         if self.forward_listener is not None and self.forward is not None:
-            self.forward_listener.close()
-            self.forward.stop()
-        until = self.steady.now() + self.config.limits.stop_ms
-        while self.held and self.steady.now() < until:
-            gevent.sleep(0.01)
+            self.forward.stop(self.forward_listener)
+        for front in (self.front, self.forward):
+            if front is not None:
+                front.clients.join(max(0.0, until - self.steady.now()) / 1000)
         done = not self.held
         if self.admin is not None:
             self.admin.stop()
--- a/tamarindfold/ingress/servers.py
+++ b/tamarindfold/ingress/servers.py
@@ -33,6 +33,9 @@
     def address(self, backend: int) -> tuple[str, int]:
         return _server(backend)[0]
 
+    def place(self, backend: int) -> object:
+        return None  # the number is the address; a process that starts anew there closes what it had
+
     def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
         cls = self.settings().classes[exchange.cls].name.encode()
         own = [(names.REQUEST, exchange.name), (names.ATTEMPT, b"%d" % attempt),
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -30,6 +30,9 @@
     def address(self, backend: int) -> tuple[str, int] | None:
         """Where a server is reached; None where it is not known any more."""
 
+    def place(self, backend: int) -> object:
+        """What tells the process that is reached under this number from any other."""
+
     def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
         """The bytes of an attempt."""
 
@@ -130,7 +133,11 @@
                 served = Served(reader.status, reader.headers, reader.body)
                 units = self.peers.units(reader)
             report = self.peers.report(reader)
-            self.pool.give_back(connection)
+            # cut: shut down from here, whatever still came; elsewhere: the list changed while it was in use
+            if attempt.cut is not None or connection.place != self.peers.place(attempt.backend):
+                self.pool.close(connection)
+            else:
+                self.pool.give_back(connection)
         self.counts[outcome.name.lower()] += 1
         ended = self.clock()
         if attempt.cut is None and attempt.came_ms:  # this process may have read it late
@@ -156,7 +163,8 @@
             return Outcome.MOOT
         if attempt.cut is not None:
             return Outcome.CONNECT_FAILED
-        if not connection.used and hindrance(exchange, attempt.entry):  # connecting took its time
+        if not connection.used and (  # connecting took its time
+                hindrance(exchange, attempt.entry) or connection.place != self.peers.place(attempt.backend)):
             connection.reader.complete = connection.reader.reusable = True  # nothing was asked on it
             return Outcome.MOOT
         if not self._write(attempt, connection):
@@ -195,7 +203,10 @@
         address = self.peers.address(backend)
         if address is None:
             raise ConnectionRefusedError("the server is gone")
-        return self.pool.connect(backend, address, (attempt.until - self.clock()) / 1000)
+        place = self.peers.place(backend)  # while it connects the list may change
+        made = self.pool.connect(backend, address, (attempt.until - self.clock()) / 1000)
+        made.place = place
+        return made
 
     def _write(self, attempt: Attempt, connection: Connection) -> bool:
         """Write the request; False where it can't have run: where not a byte of it, or not all of it, was
--- a/tamarindfold/links/follower.py
+++ b/tamarindfold/links/follower.py
@@ -39,9 +39,11 @@
         self.heard.set()
         self.link.backoff.well()
 
-    def first(self, most_ms: float, log: Callable[..., None], **held: object) -> None:
-        """Wait for the first word. Guards against acting on what an earlier life knew while news come."""
-        if not self.heard.wait(most_ms / 1000):
+    def first(self, most_ms: float, log: Callable[..., None], stop: Event | None = None,
+              **held: object) -> None:
+        """Wait for the first word, or for the end. Guards against acting on what an earlier life knew while
+        news come."""
+        if not gevent.wait((self.heard, *([] if stop is None else [stop])), most_ms / 1000, 1):
             log("fleet.first_line_awaited_in_vain", **held)
 
     def _ended(self, reason: Exception | None) -> None:
--- a/tamarindfold/node/__main__.py
+++ b/tamarindfold/node/__main__.py
@@ -20,7 +20,8 @@
 
 
 def _reload(path: Path, told: list[Node]) -> None:
-    """Guards against a file that can't be read: all stays as it was."""
+    """Guards against a file that can't be read: all stays as it was. Before there is a node, its own reading
+    of the file is still to come, or nothing yields between that and the node."""
     if not told:
         return
     (node,) = told
@@ -45,11 +46,11 @@
             raise ValueError("is not set; it names the configuration file")
         config = configuration.read(path.read_bytes())
         node = Node(config, logger(config.name))
-        node.start()
+        told.append(node)
+        node.start(stop)
     except (OSError, ValueError) as error:
         print(f"tamarindfold.node: {VARIABLE}: {error}", file=sys.stderr)
         return 2
-    told.append(node)
     gc.collect()
     gc.freeze()
     gc.set_threshold(YOUNG, MIDDLE, OLD)
--- a/tamarindfold/node/discovery.py
+++ b/tamarindfold/node/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from time import monotonic
 
 from gevent import socket
 
@@ -16,6 +17,7 @@
 FIRST_S = 1.5  # the agent answers at once, unless it is down
 SILENT_S = 2.8  # a sign of life comes every 2 s; news counts as told after 6 s (4 s after SIGHUP)
 LEAST_PAUSE_S, MOST_PAUSE_S = 0.05, 0.5
+LEAST_WAIT_S = 0.001  # what lies there is read even when the time is up
 
 
 class Watch:
@@ -53,8 +55,10 @@
         sock.sendall(b"GET %s?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\n\r\n" % (names.INSTANCES, since, host))
         self.counts["watches"] += 1
         reader = WatchReader()
-        sock.settimeout(FIRST_S)
+        began, signs = monotonic(), 0
+        until = began + FIRST_S
         while not reader.ended:
+            sock.settimeout(max(LEAST_WAIT_S, until - monotonic()))
             data = sock.recv(65536)
             if not data:
                 return
@@ -63,4 +67,8 @@
                 self.counts["lines"] += 1
                 self._whole = False
                 self.follower.well()
-                sock.settimeout(SILENT_S)
+            if reader.signs > signs:
+                began, signs = monotonic(), reader.signs
+            until = began + SILENT_S  # bytes that come to nothing are silence, too
+            if monotonic() >= until:
+                raise TimeoutError("bytes, but no sign of life")
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import chain
 
 from gevent import socket
 
@@ -28,28 +29,22 @@
     def __init__(self, limits: Limits, core: Core, timers: Timers, clock: Callable[[], float],
                  log: Callable[..., None], why_not_ready: Callable[[], str]) -> None:
         settings = core.gateway.settings
-        super().__init__(limits, core, PlatformWords(settings.retry_after), timers, clock, log)
+        super().__init__(limits, core, PlatformWords(settings.retry_after), timers, clock, log,
+                         limits.connections + limits.ending)
         self.why_not_ready = why_not_ready
         self.admission = Admission(settings)
         self.connection = PlatformConnection
-        self.clients = 0
-        self.silent: dict[socket.socket, None] = {}  # connections that have not yet brought a good request
+        self.silent: dict[ClientConnection, None] = {}  # that have not yet brought a good request
         self.open_names: set[bytes] = set()
-        self.counts |= dict.fromkeys(("evicted", "no_room", "ahead", "not_kept"), 0)
+        self.counts |= dict.fromkeys(("evicted", "no_room", "not_kept"), 0)
 
     def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """One client connection, if there is room or room can be made."""
-        if self.clients >= self.limits.connections and not self._make_room():
+        if len(self.clients) > self.limits.connections and not self._make_room():
             self.counts["no_room"] += 1
             sock.close()
             return
-        self.clients += 1
-        self.silent[sock] = None
-        try:
-            super().serve(sock, address)
-        finally:
-            self.silent.pop(sock, None)
-            self.clients -= 1
+        super().serve(sock, address)
 
     @property
     def known_idle(self) -> int:
@@ -57,17 +52,20 @@
         return len(self.idle) - len(self.silent)
 
     def _make_room(self) -> bool:
-        """Close the oldest connection that brought nothing, or else the one idle longest."""
-        victim = next(iter(self.silent), None)
-        if victim is None:
-            victim, since = next(iter(self.idle.items()), (None, 0.0))
-            if victim is None or self.clock() - since < self.limits.idle_least_ms:
-                return False
-        self.counts["evicted"] += 1
-        self.silent.pop(victim, None)
-        self.idle.pop(victim, None)
-        victim.close()
-        return True
+        """Have the oldest connection that brought nothing end, or else the one idle longest.
+
+        Not one whose request lies on its socket, or is being answered. Its greenlet closes it in this turn of
+        the loop; meanwhile it is beyond the bound (`ending`).
+        """
+        now = self.clock()
+        known = (c for c, since in self.idle.items()
+                 if c not in self.silent and now - since >= self.limits.idle_least_ms)
+        for victim in chain((c for c in self.silent if c in self.reading), known):
+            if not victim.late and not victim.unread():
+                self.counts["evicted"] += 1
+                victim.hurry()
+                return True
+        return False
 
 
 class PlatformConnection(ClientConnection):
@@ -76,6 +74,13 @@
     front: PlatformFront
     limits: Limits
 
+    def run(self) -> None:
+        self.front.silent[self] = None
+        try:
+            super().run()
+        finally:
+            self.front.silent.pop(self, None)
+
     def phase_ms(self, phase: int) -> float:
         """A connection's first request has a bound as a whole, or trickling bytes would hold it open."""
         allowed = super().phase_ms(phase)
@@ -102,7 +107,7 @@
         asked = front.admission.read(request)
         if asked.name in front.open_names:
             raise Rejected(409, "x-call-id: of a request that is open")
-        front.silent.pop(self.sock, None)
+        front.silent.pop(self, None)
         if len(front.core.open) >= limits.open_requests:
             front.counts["full"] += 1
             return front.words.final(Refused(FULL_MS, Why.PRESSURE), asked.name, self.keep)
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Callable
 from typing import Any
 
 import gevent
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from tamarindfold.choice import Gateway
@@ -27,7 +27,6 @@
 from tamarindfold.platform.registry import AddressBook
 
 BACKLOG = 1024
-ACCEPT_AT_ONCE = 8  # few, so that room is made before more descriptors are taken
 FEEL_S, TIDY_EVERY, SLEW_EVERY = 0.05, 20, 20  # the beat, and beats between chores
 KEPT_S, COME_S = 0.45, 0.7  # after SIGTERM: idle connections stay so long, and new ones are taken so long
 STOP_S = 30.0  # a stopping ingress waits no longer than this for what it holds
@@ -47,10 +46,12 @@
                          config.dial_timeout_ms, "", limits.answer_bytes, clock, limits.backend_connections)
         self.timers = Timers(clock, limits.timer_slot_ms)
         self.upstream = self.core.sender = Upstream(
-            self.core, self.pool, self.timers, Backends(self.book.address, settings.report_fields), clock,
+            self.core, self.pool, self.timers,
+            Backends(self.book.address, self.book.entries.get, settings.report_fields), clock,
             limits.kept_trust_ms, limits.answers_bytes)
         self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
         self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
+        self.counter_at = config.counter
         self.counter: Counter | None = None
         self.listener: StreamServer | None = None
         self.chores: list[gevent.Greenlet] = []
@@ -59,21 +60,27 @@
         """Why requests can't be decided now; empty where they can."""
         return "" if self.core.fleet else "no list of backends yet"
 
-    def start(self) -> None:
-        """Open the sockets; OSError where the address can't be had, ValueError for a bad list."""
+    def start(self, stop: Event | None = None) -> None:
+        """Open the sockets; OSError where the address can't be had, ValueError for a bad list.
+
+        It yields: `move` may come meanwhile, and is heeded; where `stop` is set by then nothing is taken.
+        """
         config, limits = self.config, self.limits
         if config.known:
             self._told(config.known, ListKind.CACHED)
         self.watch.start()
-        if config.counter is not None and config.settings.counter:
-            self.counter = Counter([config.counter], config.settings.counter_timeout_ms,
+        if self.counter_at is not None and config.settings.counter:
+            self.counter = Counter([self.counter_at], config.settings.counter_timeout_ms,
                                    limits.pending_counts, AddGet(), limits.counter_reconnect_ms,
                                    self.steady.now, self.core.counted, self.log, limits.counter_keep_ms)
             self.core.count = self.counter.call
         # Guards against sends by a list from before a restart: clients come as soon as this listens.
-        self.watch.follower.first(limits.first_list_ms, self.log, generation=self.book.generation)
-        self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG)
-        self.listener.max_accept = ACCEPT_AT_ONCE
+        self.watch.follower.first(limits.first_list_ms, self.log, stop, generation=self.book.generation)
+        if stop is not None and stop.is_set():
+            return
+        self.listener = StreamServer(config.listen, self.front.serve, backlog=BACKLOG,
+                                     spawn=self.front.clients)
+        self.listener.max_accept = limits.ending  # few: room is made before more descriptors are taken
         self.listener.init_socket()
         stamp(self.listener.socket)
         self.listener.start()
@@ -83,24 +90,25 @@
     def move(self, discovery: Address, counter: Address | None) -> None:
         """Discovery and counter are elsewhere from now on."""
         self.watch.move(discovery)
+        self.counter_at = counter
         if self.counter is not None and counter is not None:
             self.counter.move([counter])
         self.log("node.moved", discovery=discovery, counter=counter)
 
     def stop(self) -> None:
-        """Answer what comes while clients still come and all that was taken, then close."""
-        listener, front = self.listener, self.front
-        assert listener is not None
-        front.stopping = True  # each answer ends its connection from now on
-        gevent.sleep(KEPT_S)
-        front.stop()
-        gevent.sleep(COME_S - KEPT_S)
-        listener.stop_accepting()
-        self._empty(listener)
-        listener.close()
-        until = self.steady.now() + STOP_S * 1000
-        while front.clients and self.steady.now() < until:
-            gevent.sleep(0.01)
+        """Answer what comes while clients still come and all that was taken, then close.
+
+        In this order: each answer ends its connection; idle connections that had an answer end; what waits in
+        the accept queue is taken and every connection looks at its socket once more (`Listener.stop`); what
+        was taken is answered. All that was accepted counts, so the process never ends before it.
+        """
+        if self.listener is not None:
+            self.front.stopping = True
+            gevent.sleep(KEPT_S)
+            self.front.end_idle()
+            gevent.sleep(COME_S - KEPT_S)
+            self.front.stop(self.listener)
+            self.front.clients.join(STOP_S)
         self.log("node.stopped", **self.counts())
         gevent.killall(self.chores)
         self.watch.stop()
@@ -108,19 +116,6 @@
             self.counter.stop()
         self.timers.stop()
 
-    def _empty(self, listener: StreamServer) -> None:
-        """Take the connections that wait in the accept queue: closing it would reset them."""
-        while True:
-            try:
-                accepted = listener.do_read()
-            except OSError as error:
-                if error.errno in (errno.EAGAIN, errno.ECONNABORTED):
-                    return
-                raise
-            if accepted is None:
-                return
-            gevent.spawn(self.front.serve, *accepted)
-
     def _told(self, line: bytes, kind: ListKind = ListKind.FULL) -> None:
         """A line of the list, for the module; connections to what moved or restarted are of no use."""
         update, moved = self.book.take(line, kind)
@@ -154,8 +149,9 @@
             "connections": self.pool.counts, "watch": self.watch.counts,
             "counter": {"turned_away": pipeline.turned_away, "dropped": pipeline.dropped,
                         "out": len(pipeline.calls)} if pipeline is not None else {},
-            "sizes": {"clients": front.clients, "idle": len(front.idle), "silent": len(front.silent),
-                      "held": front.held, "open": len(self.core.open), "backends": len(self.core.fleet),
+            "sizes": {"clients": len(front.clients), "idle": len(front.idle), "silent": len(front.silent),
+                      "held": front.held, "open": len(self.core.open), "withdrawn": len(self.core.withdrawn),
+                      "backends": len(self.core.fleet),
                       "to_backends": self.pool.held, "answers_peak": self.upstream.peak,
                       "book": len(self.book.entries), "customers": len(gateway.customers),
                       "calls": len(gateway.calls), "counts": len(gateway.counts),
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -23,6 +23,7 @@
     header_timeout_ms: float = 2_000
     body_bytes: int = 65_536
     body_timeout_ms: float = 2_000
+    ahead_bytes: int = 0  # what comes before the answer ends the connection, so none of it is kept
     idle_timeout_ms: float = 20_000
     idle_least_ms: float = 2_000  # where room is short, a connection idle for so long is closed
     first_ms: float = 2_000  # a new connection's whole first request has come by then
@@ -33,6 +34,7 @@
     pending_counts: int = 512
     counter_reconnect_ms: float = 20
     counter_keep_ms: float = 2_500  # the counter closes what stood idle for 10 s, or less
+    ending: int = 8  # client connections beyond the bound while those chosen to make room close
     stall_ms: float = 300
     timer_slot_ms: float = 10  # the wheel turns a hundred times a second while a time-out is set
     counts_every_ms: float = 10_000
--- a/tamarindfold/platform/configuration.py
+++ b/tamarindfold/platform/configuration.py
@@ -72,6 +72,12 @@
     return _addresses(_decode(text))
 
 
+def _names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
+    """A list of names as it stands: flattened, a comma within one would part it."""
+    value = settings.get(key)
+    return tuple(map(str, value)) if isinstance(value, list) else tuple(str(value or "").split(","))
+
+
 def _addresses(data: dict[str, Any]) -> tuple[Address, Address | None]:
     counter = data.get("counter")
     return (split_address(_member(data, "discovery", str), "discovery"),
@@ -103,14 +109,15 @@
         raise ValueError(f"limits.memory_mb: {memory_mb!r:.60} is not a number of at least {LEAST_MEMORY_MB}")
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"limits.sockets: {sockets} is below {LEAST_SOCKETS}")
-    reader = Reader(flatten(_member(data, "settings", dict)))
+    settings = _member(data, "settings", dict)
+    reader = Reader(flatten(settings))
     discovery, counter = _addresses(data)
     return Configuration(
         name=str(data.get("name", "")), listen=split_address(_member(data, "listen", str), "listen"),
         discovery=discovery, counter=counter, seed=number, sockets=sockets, memory_mb=memory_mb,
         known=msgspec.json.encode(data["known"]) if data.get("known") else b"",
-        settings=read_settings(reader), zones=tuple(reader.text("zones", "").split(",")),
-        kinds=tuple(reader.text("machine_types", "").split(",")),
+        settings=read_settings(reader), zones=_names(settings, "zones"),
+        kinds=_names(settings, "machine_types"),
         conn_idle_ms=reader.number("permissions.conn_idle", 30_000),
         dial_timeout_ms=reader.number("permissions.dial_timeout", 250),
         open_cap=reader.whole("permissions.open_cap", 20_000))
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 from hashlib import blake2b
 from typing import Annotated
@@ -14,6 +15,7 @@
 from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind
 
 LINE_BYTES = 4 << 20
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _STATES = {"active": BackendState.READY, "leaving": BackendState.DRAINING, "left": BackendState.GONE}
 
 
@@ -106,25 +108,43 @@
 
 
 class WatchReader:
-    """The lines of a watch from the bytes of its answer; an empty line is only a sign of life."""
+    """The objects of a watch from the bytes of its answer; an empty line between them is only a sign of life.
+
+    An object may stand on one line or, indented, on several: it is whole where its brackets are closed.
+    `signs` counts whole objects and empty lines: bytes that come to neither are no sign of life.
+    """
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = b""
+        self._pieces: list[bytes] = []  # of a line that has not ended
+        self._begun: list[bytes] = []  # the lines of an object that is not whole yet
+        self._size = self._depth = self.signs = 0  # bytes since an object was whole; open brackets; signs
         self._lines: list[bytes] = []
         self.ended = False
 
     def feed(self, data: bytes) -> Iterable[bytes]:
-        """The lines that are whole now; ValueError where the answer is no watch."""
+        """The objects that are whole now; ValueError where the answer is no watch."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise ValueError(f"registry: {error}") from None
-        if len(self._rest) > LINE_BYTES:
-            raise ValueError("registry: a line without an end")
+        if self._size > LINE_BYTES:
+            raise ValueError("registry: an object without an end")
         lines, self._lines = self._lines, []
         return lines
 
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            self.signs += not self._begun
+            return
+        bare = _STRING.sub(b"", line)
+        self._depth += sum(map(bare.count, b"{[")) - sum(map(bare.count, b"}]"))
+        self._begun.append(line)
+        if self._depth <= 0:
+            self._lines.append(b"\n".join(self._begun))
+            self._begun, self._size, self._depth = [], 0, 0
+            self.signs += 1
+
     # ---- called by the parser
 
     def on_headers_complete(self) -> None:
@@ -132,11 +152,17 @@
             raise ValueError(f"registry: status {status}")
 
     def on_body(self, part: bytes) -> None:
-        *lines, self._rest = (self._rest + part).split(b"\n")
-        self._lines += [line for line in lines if line.strip()]
+        self._size += len(part)
+        if b"\n" not in part:  # pieces of a line are joined once, when it ends
+            self._pieces.append(part)
+            return
+        *lines, rest = b"".join((*self._pieces, part)).split(b"\n")
+        self._pieces = [rest]
+        for line in lines:
+            self._line(line)
 
     def on_message_complete(self) -> None:
-        if self._rest.strip():
-            self._lines.append(self._rest)
-            self._rest = b""
+        if (rest := b"".join(self._pieces)).strip():
+            self._line(rest)
+        self._pieces = []
         self.ended = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -290,7 +290,7 @@
     good = w.connect()
     assert w.ask(good).status == 200
     silent = [w.connect() for _ in range(2)]
-    wait_for(lambda: w.node.front.clients == 3)
+    wait_for(lambda: len(w.node.front.clients) == 3)
     assert w.ask().status == 200  # in the place of the oldest silent one
     assert silent[0].recv(10) == b"" and w.node.front.counts["evicted"] == 1
     assert w.ask(good).status == 200
@@ -422,7 +422,7 @@
     assert [a.status for a in answers] == [200, 200]
     assert all(a.headers["connection"] == "close" for a in answers)
     stopping.get(timeout=20)
-    assert idle.recv(10) == b"" and not w.node.front.clients
+    assert idle.recv(10) == b"" and not len(w.node.front.clients)
     with pytest.raises(OSError):
         w.connect()
 
@@ -434,7 +434,7 @@
         sock = w.connect()
         assert w.ask(sock).status == 200
         w.opened.pop().close()
-    wait_for(lambda: w.node.book.generation == 191 and not w.node.front.clients)
+    wait_for(lambda: w.node.book.generation == 191 and not len(w.node.front.clients))
     w.node.pool.tidy(w.node.core.fleet.__contains__)
     sizes = w.node.counts()["sizes"]
     assert sizes["backends"] == sizes["book"] == 3 and sizes["to_backends"] <= 8
