--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -305,6 +305,8 @@
 def test_a_signal_while_it_waits_for_its_first_list_is_heeded(tmp_path, told) -> None:
     """Its agent takes the watch and says nothing; then the signal comes, and only then does anybody answer."""
     silent, other = (socket.create_server(("127.0.0.1", 0)) for _ in range(2))
+    for one in (silent, other):
+        one.settimeout(20)
     addresses = ["{}:{}".format(*one.getsockname()) for one in (silent, other)]
     config = CONFIG | {"listen": f"127.0.0.1:{free_port()}", "discovery": addresses[0], "counter": f"127.0.0.1:{free_port()}"}
     process = start(tmp_path, msgspec.json.encode(config))
@@ -314,14 +316,14 @@
         (tmp_path / "config.json").write_bytes(msgspec.json.encode(config | {"discovery": addresses[1]}))
         process.send_signal(told)
         if told == signal.SIGHUP:
-            with gevent.Timeout(20):
-                other.accept()
+            other.accept()
             process.send_signal(signal.SIGTERM)
         _, said = process.communicate(timeout=60)
         assert process.returncode == 0 and b"node.stopped" in said
         assert b"node.listening" not in said or told == signal.SIGHUP
     finally:
         process.kill()
+        process.wait()
         for one in (silent, other):
             one.close()
 
