A full house of idle connections no longer holds up the stop of the daemon

Lines to blame: the loop over `reading` behind the loop over `do_read`. Change: the idle ones look first, then the queue is taken. Excluded: the platform's ingress, whose `_make_room` gives places back, was not held up so. Tests: one forces it (daemon, one place, one idle, one queued); on the order before it failed with 'the stop waits for the idle one'. Half of the tests that shared `World` took it from a test file: it has a file of its own.

--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -106,11 +106,14 @@
             connection.hurry()
 
     def stop(self, server: StreamServer) -> None:
-        """Take nothing new. First what waits in the accept queue, since closing the listener would reset it;
-        then each connection looks at its socket for the last time. No yield but for a full `clients`."""
+        """Take nothing new. First each connection looks at its socket for the last time, so that idle ones
+        give up their places; then what waits in the accept queue is taken, since closing the listener
+        would reset it: those find `done` when they begin. No yield but for a full `clients`."""
         self.stopping = self.done = True
         if server.closed:
             return
+        for connection in list(self.reading):
+            connection.hurry()
         server.stop_accepting()
         while True:
             try:
@@ -124,8 +127,6 @@
                 break
             server.do_handle(*accepted)
         server.close()
-        for connection in list(self.reading):
-            connection.hurry()
 
 
 class ClientConnection:
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -98,8 +98,8 @@
     def stop(self) -> None:
         """Answer what comes while clients still come and all that was taken, then close.
 
-        In this order: each answer ends its connection; idle connections that had an answer end; what waits in
-        the accept queue is taken and every connection looks at its socket once more (`Listener.stop`); what
+        In this order: each answer ends its connection; idle connections that had an answer end; every one
+        looks at its socket once more and what waits in the accept queue is taken (`Listener.stop`); what
         was taken is answered. All that was accepted counts, so the process never ends before it.
         """
         if self.listener is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import pytest
 from rig import Rig, start
+from world import World
 
 
 @pytest.fixture
@@ -19,3 +20,18 @@
     yield make
     for made in rigs:
         made.stop()
+
+
+@pytest.fixture
+def world() -> Iterator[Any]:
+    made: list[World] = []
+
+    def make(*args: Any, start: bool = True, **changes: Any) -> World:
+        made.append(World(*args, **changes))
+        if start:
+            made[-1].run()
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.stop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,7 +7,7 @@
 
 import itertools
 import signal
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -18,8 +18,9 @@
 from gevent import socket
 from rig import read_answer, wait_for
 from rig import request as tokened
-from test_node import World, free_port, start
+from test_node import start
 from test_platform import CONFIG
+from world import World, free_port
 
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Left
@@ -31,21 +32,6 @@
 from tamarindfold.standins.base import reset
 
 
-@pytest.fixture
-def world() -> Iterator[Any]:
-    made: list[World] = []
-
-    def make(*args: Any, start: bool = True, **changes: Any) -> World:
-        made.append(World(*args, **changes))
-        if start:
-            made[-1].run()
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.stop()
-
-
 def bounds(monkeypatch: pytest.MonkeyPatch, **changes: Any) -> None:
     monkeypatch.setattr("tamarindfold.node.ingress.budget", lambda *a: replace(budget(*a), **changes))
 
@@ -287,6 +273,18 @@
     assert r.ingress.stop() and read_answer(sock).status == 200
 
 
+def test_idle_connections_do_not_keep_out_those_that_wait_for_their_place_at_the_stop(rig) -> None:
+    """All places are taken by one that had its answer; the next waits in the accept queue, its request with it."""
+    r = rig(limits={"connections": 1, "idle_timeout_ms": 3_600_000.0})
+    idle, waiting = r.connect(), r.connect()
+    assert r.ask(sock=idle).status == 200
+    wait_for(lambda: r.ingress.front.idle)
+    waiting.sendall(tokened())
+    with gevent.Timeout(20, AssertionError("the stop waits for the idle one")):
+        assert r.ingress.stop()
+    assert read_answer(waiting).status == 200 and idle.recv(10) == b""
+
+
 def test_half_a_request_does_not_hold_up_the_stop(world) -> None:
     w = world()
     sock = w.connect()
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,89 @@
+"""An ingress of the platform in this process, over loopback sockets, among stand-ins of all that is round it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+from rig import read_answer, wait_for
+from test_platform import CONFIG, GOOD, SETTINGS
+
+from tamarindfold.node.ingress import Node
+from tamarindfold.platform import configuration
+from tamarindfold.standins.base import Fault
+from tamarindfold.standins.counter import CounterStandinConfig
+from tamarindfold.standins.platform import (
+    BackendConfig, DiscoveryConfig, PlatformBackend, PlatformCounter, PlatformDiscovery,
+)
+
+PLANS = [{"name": "team", "per_second": 0.0, "peak_units": 0.0}, {"name": "small", "per_second": 1.0, "peak_units": 2.0}]
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+class World:
+    """Backends, discovery and counter, and an ingress among them."""
+
+    def __init__(self, backends: int = 2, faults: list[Fault] | None = None, **changes: Any) -> None:
+        self.backends = [PlatformBackend(BackendConfig(seed=i, faults=faults or [], **changes)) for i in range(backends)]
+        for backend in self.backends:
+            backend.start()
+        self.discovery = PlatformDiscovery(DiscoveryConfig(instances=[self.entry(i) for i in range(backends)]))
+        self.counter = PlatformCounter(CounterStandinConfig())
+        self.others: list[Any] = [self.discovery, self.counter]
+        for other in self.others:
+            other.start()
+        self.config = CONFIG | {
+            "listen": f"127.0.0.1:{free_port()}", "discovery": self.discovery.address, "counter": self.counter.address,
+            "settings": SETTINGS | {"plans": PLANS}}
+        self.logged: list[str] = []
+        self.node: Node | None = None
+        self.opened: list[socket.socket] = []
+        self.number = 0
+
+    def entry(self, i: int, **changes: Any) -> dict[str, Any]:
+        return {"instanceId": f"s-{i}", "hostPort": self.backends[i].address, "lifecycle": "active"} | changes
+
+    def run(self) -> Node:
+        self.node = Node(configuration.read(msgspec.json.encode(self.config)), lambda event, **_: self.logged.append(event))
+        self.node.start()
+        wait_for(lambda: self.node.core.fleet and self.node.counter.parts[0].pipeline.connected)
+        return self.node
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(self.node.config.listen, timeout=10)
+        self.opened.append(sock)
+        return sock
+
+    def text(self, cls: str = "quote", body: bytes = b"", **changes: str) -> bytes:
+        self.number += 1
+        headers = GOOD | {"X-Call-Id": f"{self.number:016x}", "X-Call-Class": cls, "X-Budget": "3.000"}
+        headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+        head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+        method, length = ("GET", "") if cls == "quote" else ("POST", f"Content-Length: {len(body)}\r\n")
+        return f"{method} /api?key=00000000b4d65521 HTTP/1.1\r\nHost: o\r\n{head}{length}\r\n".encode() + body
+
+    def ask(self, sock: socket.socket | None = None, **changes: Any) -> Any:
+        sock = sock or self.connect()
+        sock.sendall(self.text(**changes))
+        return read_answer(sock)
+
+    def came(self) -> list[dict[str, Any]]:
+        return [e for b in self.backends for e in b.ledger.of("came")]
+
+    def stop(self) -> None:
+        for sock in self.opened:
+            sock.close()
+        if self.node is not None:
+            self.node.listener.close()
+            gevent.killall(self.node.chores)
+            self.node.watch.stop()
+            self.node.counter.stop()
+            self.node.timers.stop()
+        for standin in [*self.backends, *self.others]:
+            standin.stop()
