Light work's aim counts for more, and what is let in unasked is weighed by its cost

Excluded: quotas and counter (a trace had 116 of 130 refusals at one ingress as pressure) and slow backends (p50 131 ms). Lines to blame: `patience` compared the wait of a mean request (182 ms and more) with a quarter of the shortest aim of the dearer classes (900 ms, work 60 ms): one request anywhere refused them. With them let in, the price beyond quotas rose: `arrived` let in what it could not ask for by the chance of room alone, whatever `over_cost` is. Change: a class whose requests take less than the mean try counts its aim so much longer; a try that is not asked for is let in by fits - (1 - fits) x (over_cost - over_worth).

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -137,7 +137,7 @@
         """
         believed = self.store + refill * (now - self.told_at) / 1000 * self.plan.rate
         believed += min(0.0, self.tokens)  # what was lent here and is not told yet
-        return believed / (ROOM * self.plan.burst)
+        return believed / (ROOM * self.plan.burst) if self.plan.burst else 0.0
 
     def told(self, now: float, before: float, use: float, age_ms: float) -> float:
         """One answer tells the shared store by itself; gives what the name lacks, or has too much of."""
@@ -207,7 +207,7 @@
             ("asked", "unasked", "over_known", "over_unknown", "refused_unasked", "refused_with_room"), 0.0)
         self.stake = 0.0  # what is lost by a try let in beyond its quota, of those met lately
         self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
-        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        self.mean_work = self.asked_unit_ms = sum(self.unit_ms) / len(self.unit_ms)  # of sends, of tries
         self.grown_at, self.grown_from = 0.0, 1  # when this part of the quotas last grew, and from which
         self.woke_at = -inf  # what was sent before tells nothing of the backends: this gateway stood still
         self.actions: Actions = []
@@ -267,7 +267,7 @@
     def restored(self, now: float, event: Restored) -> None:
         """Appointments go on where they ended; the ceiling has what was left of it and what it got since."""
         self.unit_ms = list(event.unit_ms) if len(event.unit_ms) == len(self.unit_ms) else self.unit_ms
-        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        self.mean_work = self.asked_unit_ms = sum(self.unit_ms) / len(self.unit_ms)
         for old in event.customers:
             if old.customer in self.customers or not 0 <= old.plan < len(self.settings.plans):
                 continue
@@ -308,6 +308,7 @@
         if event.retry and marks and customer.appointments:
             customer.appointments.popleft()
         self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
+        self.asked_unit_ms += (self.unit_ms[event.cls] - self.asked_unit_ms) * (1 - KEEP) / 2
         room = not plan.ceiling_rate or customer.cap_tokens >= event.units
         kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
         if room and (not plan.rate or customer.tokens - kept >= event.units):
@@ -333,7 +334,8 @@
                 self.account["asked"] += event.units
                 customer.debt += event.units
                 return self.settle(now, customer, call)
-        if luck < customer.room(now, customer.left) and (
+        fits = min(1.0, customer.room(now, customer.left))  # beyond its quota a try costs, or earns less
+        if luck < fits - (1 - fits) * (plan.over_cost - plan.over_worth) and (
                 self.counting or customer.tokens >= plan.burst * customer.share):
             return self.admit(now, call, True)  # a full bucket does, or a large request never would pass
         self.refuse(now, call, Why.QUOTA)
@@ -352,8 +354,7 @@
     def admit(self, now: float, call: Call, inside: bool) -> None:
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
-        patience = self.patience(call.cls, event.cls) * (1.0 if inside else SPARE_PATIENCE)
-        backend = self.choose(now, call, patience)
+        backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
         if backend is None:
             customer.debt -= call.counted
             return self.refuse(now, call, Why.PRESSURE)
@@ -477,15 +478,14 @@
             there = ring[at:at + 1] == [entry.backend]
             ring[at:at + there] = [entry.backend] * ready
 
-    def patience(self, cls: RequestClass, number: int) -> float:
-        """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
-        own = most = cls.worth / self.unit_ms[number]
-        aim = cls.aim_ms
-        for other, ms in zip(self.settings.classes, self.unit_ms, strict=True):
-            worth = other.worth / ms
-            if worth >= own:
-                most, aim = max(most, worth), min(aim, other.aim_ms)
-        return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * own / most)
+    def patience(self, number: int) -> float:
+        """The wait this class may meet: long-aimed cheap work must not fill a pressed fleet."""
+        # work that is lighter than most waits less at the same pile, and so its aim counts for more
+        own = self.settings.classes[number].worth / self.unit_ms[number]
+        dear = [(cls.worth / ms, cls.aim_ms * max(1.0, self.asked_unit_ms / ms)) for cls, ms
+                in zip(self.settings.classes, self.unit_ms, strict=True) if cls.worth / ms >= own]
+        part = CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * own / (max(dear)[0] or 1.0)
+        return part * min(aim for _, aim in dear)
 
     def pile(self, now: float, backend: Backend) -> float:
         """What stands there from here and a request more, as a warm backend of size one would feel it."""
