No pause between two watches outlasts the grace of drains; three suspects forced

Observed by reading `Watch` (MOST_PAUSE_S, node/discovery.py): while discovery is away the pauses between watches double up to 0.5 s, and what the agent gets at the return counts as told at once, while sends to a draining backend are allowed for 0.25 + 0.05 s. Change: no pause is longer than half of `drain_grace_ms`. Tests: the pauses (on the code before: 0.5 > 0.125); answers with 1xx, report and more behind them parted at every byte; calls, answers and the end of the counter's connection in one turn.

--- a/tamarindfold/node/discovery.py
+++ b/tamarindfold/node/discovery.py
@@ -16,18 +16,24 @@
 CONNECT_S = 1.0
 FIRST_S = 1.5  # the agent answers at once, unless it is down
 SILENT_S = 2.8  # a sign of life comes every 2 s; news counts as told after 6 s (4 s after SIGHUP)
-LEAST_PAUSE_S, MOST_PAUSE_S = 0.05, 0.5
+LEAST_PAUSE_S, MOST_PAUSE_S = 0.05, 0.5  # between two watches
+GRACE_PART = 0.5  # of the grace of drains: no pause is longer
 LEAST_WAIT_S = 0.001  # what lies there is read even when the time is up
 
 
 class Watch:
-    """take: is given each line; ValueError from it asks for the whole list anew."""
+    """take: is given each line; ValueError from it asks for the whole list anew.
+
+    What the agent gets when discovery returns counts as told at once, watch or no watch. So no pause between
+    two watches, however long discovery is away, lasts longer than a part of the time in which a drain has to
+    be heeded; the rest is for the connection and the line.
+    """
 
     def __init__(self, address: tuple[str, int], generation: Callable[[], int], take: Callable[[bytes], None],
-                 log: Callable[..., None]) -> None:
+                 log: Callable[..., None], drain_grace_ms: float) -> None:
         self.generation, self.take, self.log = generation, take, log
-        self.follower = Follower(Link(address, CONNECT_S, Backoff(LEAST_PAUSE_S, MOST_PAUSE_S)), self._read,
-                                 self._lost)
+        pauses = Backoff(LEAST_PAUSE_S, min(MOST_PAUSE_S, drain_grace_ms * GRACE_PART / 1000))
+        self.follower = Follower(Link(address, CONNECT_S, pauses), self._read, self._lost)
         self.counts = self.follower.counts
         self.counts |= dict.fromkeys(("watches", "lines"), 0)
         self._whole = False  # the list must be told anew
--- a/tamarindfold/node/ingress.py
+++ b/tamarindfold/node/ingress.py
@@ -50,7 +50,8 @@
             Backends(self.book.address, self.book.entries.get, settings.report_fields), clock,
             limits.kept_trust_ms, limits.answers_bytes)
         self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.why_not_ready)
-        self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log)
+        self.watch = Watch(config.discovery, lambda: self.book.generation, self._told, log,
+                           settings.drain_grace_ms)
         self.counter_at = config.counter
         self.counter: Counter | None = None
         self.listener: StreamServer | None = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import itertools
 import signal
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -22,12 +23,15 @@
 from test_platform import CONFIG
 from world import World, free_port
 
+from tamarindfold.counter.driver import Counter
+from tamarindfold.http1 import write
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Left
-from tamarindfold.interface import Outcome
+from tamarindfold.interface import Count, CountAnswered, Outcome
 from tamarindfold.node import discovery as discovery_driver
 from tamarindfold.node.limits import budget
 from tamarindfold.platform import configuration
+from tamarindfold.platform.counter import AddGet
 from tamarindfold.platform.registry import AddressBook, WatchReader
 from tamarindfold.standins.base import reset
 
@@ -358,6 +362,14 @@
     assert len(w.node.core.fleet) == 2  # what was known stays
 
 
+def test_however_long_discovery_is_away_a_watch_is_tried_within_the_grace_of_drains(world) -> None:
+    """What the agent gets at discovery's return counts as told at once; sends may go on for drain_grace_ms."""
+    w = world()
+    grace_s = w.node.config.settings.drain_grace_ms / 1000
+    pauses = [w.node.watch.follower.link.backoff.failed() for _ in range(20)]
+    assert pauses[0] == 0.0 and 0 < max(pauses) <= grace_s / 2
+
+
 def test_an_empty_line_says_that_nothing_has_changed(world, monkeypatch) -> None:
     """A watch that begins with a sign of life and no line is a good one."""
     monkeypatch.setattr(discovery_driver, "FIRST_S", 0.3)
@@ -404,6 +416,37 @@
     assert w.node.pool.counts["found_closed"] == 0
 
 
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+
+
+@pytest.mark.parametrize("extra", ["nothing", "a copy", "noise"])
+def test_an_answer_parted_at_any_byte_is_served_and_nothing_behind_it_is_taken_for_the_next(world, monkeypatch, extra) -> None:
+    """1xx in front, a load report, more behind it; what is read of it in one piece and what later is never the same."""
+    w = world(1)
+    at_byte, sent, ended = [0], [0], [0]
+
+    def parted(sock: socket.socket, request: Any, first: float) -> None:
+        body = request.get(b"x-call-id")
+        answer = write.response(200, ((b"x-load-report", b"inflight=7,queue=2,util=0.61"),), body)
+        text = HINTS + answer + {"nothing": b"", "a copy": answer, "noise": b"x"}[extra]
+        cut, sent[0] = at_byte[0], len(text)
+        sock.sendall(text[:cut])
+        wait_for(lambda: w.node.upstream.held == cut or not w.node.core.open)
+        with suppress(OSError):  # the answer was whole without it
+            sock.sendall(text[cut:])
+        ended[0] += 1
+
+    monkeypatch.setattr(w.backends[0], "_answer", parted)
+    sock = w.connect()
+    while at_byte[0] <= sent[0]:
+        answer = w.ask(sock)
+        assert (answer.status, answer.body) == (200, b"%016x" % w.number), at_byte
+        wait_for(lambda: ended[0] == w.number)  # what lies behind the answer comes before the next request
+        at_byte[0] += 1
+    assert w.node.upstream.counts["ok"] == w.number == sent[0] + 1
+    assert (w.node.pool.counts["opened"] == 1) == (extra == "nothing")
+
+
 class NoAttempts:
     """Stands where attempts are carried out: notes them."""
 
@@ -456,6 +499,51 @@
     assert sender.started == [] and not core.gateway.customers and not core.gateway.calls
 
 
+# ---- the counter
+
+
+@pytest.mark.parametrize("how", ["cut", "move"])
+@pytest.mark.parametrize("late", [0, 1, 2])
+def test_each_call_round_a_new_connection_has_its_own_answer(how, late) -> None:
+    """Calls go out, some are answered in the very turn in which the connection ends, and the next ones follow at once."""
+    servers = [socket.socket() for _ in range(2)]
+    for server in servers:
+        server.settimeout(10)
+        server.bind(("127.0.0.1", 0))
+        server.listen()
+    told: list[CountAnswered] = []
+    counter = Counter([servers[0].getsockname()], 60_000.0, 10, AddGet(), 1.0, lambda: START, told.append, lambda *a, **k: None)
+    part = counter.parts[0]
+    try:
+        first, _ = servers[0].accept()
+        wait_for(lambda: part.pipeline.connected)
+        for n in range(3):
+            counter.call(Count(n, 1.0, 1000))
+        asked = b""
+        while asked.count(b"ADDGET") < 3:
+            asked += first.recv(1000)
+        first.sendall(b"".join(b"$1\r\n%d\r\n" % n for n in range(late)))  # each total is its call's name
+        if how == "cut":
+            first.close()
+        else:
+            counter.move([servers[1].getsockname()])
+        counter.call(Count(7, 1.0, 1000))  # in the same turn: the end was not seen yet, or is just under way
+        second, _ = servers[how == "move"].accept()
+        wait_for(lambda: part.pipeline.connected and part.link.sock is not None and len(told) >= 4)
+        counter.call(Count(8, 1.0, 1000))
+        assert b"ADDGET" in second.recv(1000)
+        second.sendall(b"$1\r\n8\r\n")
+        wait_for(lambda: len(told) == 5)
+        assert sorted(answer.name for answer in told) == [0, 1, 2, 7, 8]
+        assert all(answer.total == answer.name for answer in told if answer.outcome is Outcome.OK)
+        assert told[-1].outcome is Outcome.OK and not part.pipeline.calls and not part.out
+        assert sum(answer.outcome is Outcome.OK for answer in told) <= late + 1
+    finally:
+        counter.stop()
+        for server in servers:
+            server.close()
+
+
 # ---- settings of other customers
 
 
