--- a/review/rig.py
+++ b/review/rig.py
@@ -158,6 +158,7 @@
     def __init__(self, name: str, record: Record, behave: Behaviour) -> None:
         super().__init__()
         self.name, self.record, self.behave = name, record, behave
+        self.zone, self.kind, self.lifecycle = "hall-a", "std-2c", "active"
         self.arrivals: list[Arrival] = []
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -173,17 +174,17 @@
             writer.write(await self.behave(self, arrival))
             await writer.drain()
 
-    def entry(self, **changes: Any) -> dict[str, Any]:
+    def entry(self) -> dict[str, Any]:
         return {
             "instanceId": self.name,
             "hostPort": self.address,
-            "zone": "hall-a",
-            "machineType": "std-2c",
+            "zone": self.zone,
+            "machineType": self.kind,
             "cell": 1,
-            "lifecycle": "active",
+            "lifecycle": self.lifecycle,
             "weight": 1.0,
             "startedAtMs": 0,
-        } | changes
+        }
 
 
 class Discovery(Server):
@@ -193,7 +194,24 @@
         super().__init__()
         self.record, self.generation = record, 41
         self.instances = backends
-        self.watches: set[asyncio.Queue[bytes]] = set()
+        self.watches: set[asyncio.StreamWriter] = set()
+
+    def drain(self, backends: list[Backend]) -> float:
+        """Tell all watches at once that these servers leave; returns when the last one was told."""
+        self.generation += 1
+        for backend in backends:
+            backend.lifecycle = "leaving"
+        change = {
+            "generation": self.generation,
+            "reset": False,
+            "instances": [backend.entry() for backend in backends],
+        }
+        line = json.dumps(change).encode() + b"\n"
+        for writer in self.watches:
+            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+        told = self.record.now()
+        self.record.write("told", leaving=",".join(b.name for b in backends), watches=len(self.watches))
+        return told
 
     def whole_list(self) -> dict[str, Any]:
         return {
@@ -209,19 +227,15 @@
                 writer.write(response(200, line))
                 continue
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            lines: asyncio.Queue[bytes] = asyncio.Queue()
-            lines.put_nowait(line)
-            self.watches.add(lines)
+            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+            self.watches.add(writer)
             try:
                 while True:
-                    try:
-                        line = await asyncio.wait_for(lines.get(), 2.0)
-                    except TimeoutError:
-                        line = b"\n"
-                    writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+                    await asyncio.sleep(2.0)
+                    writer.write(b"1\r\n\n\r\n")
                     await writer.drain()
             finally:
-                self.watches.discard(lines)
+                self.watches.discard(writer)
 
 
 class Counter(Server):
@@ -281,14 +295,14 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.config: dict[str, Any] = {}
 
-    def start(self, discovery: Discovery, counter: Counter) -> None:
+    def start(self, discovery: Discovery, counter: Counter, sockets: int = 512) -> None:
         self.config = {
             "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
             "discovery": discovery.address,
             "counter": counter.address,
             "seed": f"{random.getrandbits(64):016x}",
-            "limits": {"cores": 0.5, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 0.5, "memory_mb": 192, "sockets": sockets},
             "known": discovery.whole_list(),
             "settings": self.settings,
         }
@@ -458,10 +472,12 @@
     backends: int,
     behave: Behaviour,
     counter_service_s: float = 0.001,
+    sockets: int = 512,
 ) -> World:
     """Start the stand-ins and as many ingresses as the settings say, and wait until these are ready."""
     servers = [Backend(f"s-{n:02d}", record, behave) for n in range(backends)]
     for server in servers:
+        server.zone, server.kind = settings["zones"][0], settings["machine_types"][0]
         await server.start()
     discovery, counter = Discovery(record, servers), Counter(record, counter_service_s)
     await discovery.start()
@@ -470,7 +486,7 @@
     world = World(folder, record, servers, discovery, counter, ingresses, Clients(record))
     try:
         for ingress in ingresses:
-            ingress.start(discovery, counter)
+            ingress.start(discovery, counter, sockets)
         for ingress in ingresses:
             await ingress.wait_until_ready()
     except BaseException:
@@ -483,6 +499,11 @@
     """End every process and every server that the case has started."""
     for ingress in world.ingresses:
         ingress.end()
+        log = (ingress.folder / "log").read_text(errors="replace")
+        if "Traceback" in log:
+            world.record.write("log", ingress=ingress.name, has="Traceback")
+        if folder := os.environ.get("KEEP_LOGS"):
+            (Path(folder) / f"{ingress.name}.log").write_text(log)
     for server in (*world.backends, world.discovery, world.counter):
         server.stop()
 
@@ -511,6 +532,40 @@
 # ---- settings
 
 
+def tariff_settings(balancers: int) -> dict[str, Any]:
+    """The settings of a small deployment of `hobart-tariffs`, from its brief."""
+    no_ceiling = {"cap_rate": 0.0, "ceiling_burst": 0.0, "tolerance": 0.0, "at_once": 0}
+    settings = ledger_settings(balancers)
+    category = {"group": "all", "dedup_window": 5000.0, "streaming": False}
+    return settings | {
+        "zones": ["hobart-dc"],
+        "machine_types": ["std-3core"],
+        "categories": [
+            category
+            | {"name": "quote", "aim": 1500.0, "hard_limit": 6000.0, "points": 3.0}
+            | {"idempotency": "pure", "late_worth": 0.2},
+            category
+            | {"name": "switch", "aim": 3000.0, "hard_limit": 8000.0, "points": 9.0}
+            | {"idempotency": "side_effect", "late_worth": 0.0},
+        ],
+        "plans": [
+            no_ceiling
+            | {"name": "basic", "per_second": 1.6, "peak_units": 7.0, "price": 0.88}
+            | {"over_worth": 0.0, "excess_cost": 0.8},
+            no_ceiling
+            | {"name": "standard", "per_second": 3.0, "peak_units": 14.0, "price": 1.1}
+            | {"over_worth": 0.3, "excess_cost": 0.0},
+            no_ceiling
+            | {"name": "premium", "per_second": 12.0, "peak_units": 26.0, "price": 1.6}
+            | {"over_worth": 0.0, "excess_cost": 1.0},
+        ],
+        "permissions": settings["permissions"] | {"parallel_tries": False, "probes": True},
+        "safety": settings["safety"] | {"cold": 18000.0, "fall_multiple": 2.5, "stop_sending_within": 250.0},
+        "extra": settings["extra"] | {"count_wait": 30.0, "units_top": 4},
+        "telemetry": {"fields": ["queue"], "via": "inline"},
+    }
+
+
 def ledger_settings(balancers: int, **plan_plus: float) -> dict[str, Any]:
     """The settings of a small deployment of `olten-campus`, in the middle of the ranges of its brief."""
     plus = {"per_second": 17.0, "peak_units": 32.0, "price": 1.6, "excess_cost": 0.6, "name": "plus"}
