--- a/review/rig.py
+++ b/review/rig.py
@@ -465,6 +465,15 @@
     ingresses: list[Ingress]
     clients: Clients
     proxy: subprocess.Popen[bytes] | None = None
+    lag_task: asyncio.Task[None] | None = None
+    lag_s: float = 0.0  # the longest time by which the stand-ins themselves were late
+
+    async def watch_lag(self) -> None:
+        """Measure how late the stand-ins' event loop turns, so that its delay is not taken for another's."""
+        while True:
+            due = time.monotonic() + 0.005
+            await asyncio.sleep(0.005)
+            self.lag_s = max(self.lag_s, time.monotonic() - due)
 
 
 def start_proxy(servers: list[Backend], delay_ms: float) -> subprocess.Popen[bytes]:
@@ -512,6 +521,7 @@
             ingress.start(discovery, counter, sockets)
         for ingress in ingresses:
             await ingress.wait_until_ready()
+        world.lag_task = asyncio.create_task(world.watch_lag())
     except BaseException:
         stop(world)
         raise
@@ -520,6 +530,9 @@
 
 def stop(world: World) -> None:
     """End every process and every server that the case has started."""
+    if world.lag_task is not None:
+        world.lag_task.cancel()
+    world.record.write("stand-ins", late_by_s=f"{world.lag_s:.4f}")
     for ingress in world.ingresses:
         ingress.end()
         log = (ingress.folder / "log").read_text(errors="replace")
