--- a/review/rig.py
+++ b/review/rig.py
@@ -549,6 +549,7 @@
 
 def main(case: Path, play: Callable[[Record, Path], Awaitable[list[str]]]) -> None:
     """Run a case; `play` returns the breaks that it found, one line each. Exits with 0, 1 or 2."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the processes are ended on the way out
     record = Record(case / "record.txt")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     record.write("case", trouble=int(TROUBLE))
