--- a/review/stage.py
+++ b/review/stage.py
@@ -523,6 +523,7 @@
     """Run `act`, which gives the breaks of the rule that it saw, and exit with 1, 0 or 2."""
     case = case.resolve().parent
     stage = Stage(case)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended on the way out
     try:
         stage.record("trouble", on=int(trouble()))
         breaks = asyncio.run(_limited(act, stage))
