--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from stage import OPEN_PLAN, SLACK_S, Backend, Ingress, Request, Stage, answer, play, settings, trouble
+from stage import LAG_S, OPEN_PLAN, SLACK_S, Backend, Ingress, Request, Stage, answer, play, settings, trouble
 
 OUTAGE_S = 8.0
 GRACE_S = 0.25
@@ -85,8 +85,8 @@
     if served < len(statuses) / 2:
         raise RuntimeError(f"only {served} of {len(statuses)} requests were served")
     draining = {backend.name for backend in stage.backends[:DRAINING]}
-    strict = started_at + GRACE_S + SLACK_S
-    lenient = max(strict, drained_at + TOLD_S + GRACE_S + SLACK_S)
+    strict = started_at + GRACE_S + SLACK_S + LAG_S
+    lenient = max(strict, drained_at + TOLD_S + GRACE_S + SLACK_S + LAG_S)
     late = [(at, name, call) for at, name, call in came if name in draining and call in by_n0 and at > strict]
     stage.record("sends to draining servers", by_n0_after_its_start=len(late))
     return [
