The repeat window counts from an attempt's first byte, not back from its outcome

Seen by callers: a keyed payment ran twice. Cause: Gateway.on_attempt_ended took `now - elapsed_ms` for the start of an attempt. Upstream.run ended `elapsed_ms` with the last bytes that had come, also if a reset ended the attempt later: 0.6 to 0.8 ms in six attempts that were reset over 200 ms after their start. After a suspension `now` itself is late. Excluded: the comparison with the window; with a true elapsed time the module refuses. A reset without half an answer. Change: the driver keeps the time of the first byte when it writes it; AttemptEnded.first_byte_ms carries it and the window counts from there. Where a driver does not know it, the time of the decision to send counts, which is earlier. An attempt without a complete answer ends when its connection ends.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -304,6 +304,7 @@
         self.deadline = now + event.time_left_ms
         self.aim_at = now + min(cls.aim_ms, event.time_left_ms)
         self.attempted: list[Backend] = []  # one for each attempt
+        self.decided_at: list[float] = []  # when each attempt was decided on
         self.may_have_run = False
         self.dedup_group: tuple[Group, int] | None = None  # the backends that drop a repeat
         self.dedup_until = inf
@@ -809,6 +810,7 @@
         backend.cold_budget_ms -= call.work_ms
         self.mean_work_ms += (call.work_ms - self.mean_work_ms) * (1 - EWMA_DECAY) / 2
         call.attempted.append(backend)
+        call.decided_at.append(now)
         self.actions.append(Send(call.event.request, backend.entry.backend))
 
     def on_attempt_ended(self, now: float, event: AttemptEnded) -> None:
@@ -838,7 +840,10 @@
             call.may_have_run = True
             if call.cls.effect is Effect.KEYED and call.dedup_group is None:
                 call.dedup_group = self.dedup_group(call.attempted[event.attempt], call.cls)
-                call.dedup_until = now - event.elapsed_ms + call.cls.window_ms
+                # never derived from `now`: the outcome may be reported late
+                decided_at = call.decided_at[event.attempt]
+                started_at = decided_at if event.first_byte_ms is None else event.first_byte_ms
+                call.dedup_until = started_at + call.cls.window_ms
         self.retry_or_finish(now, call)
 
     def retry_or_finish(self, now: float, call: Call) -> None:
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -207,8 +207,12 @@
         served: Served | None = None,
         true_units: float = 0.0,
         report: tuple[float, ...] = (),
+        first_byte_ms: float | None = None,
     ) -> None:
-        """Record the outcome of an attempt, once for each; the first served response answers the client."""
+        """Record the outcome of an attempt, once for each; the first served response answers the client.
+
+        elapsed_ms: from its start to its end. first_byte_ms: when its first byte was written, if known.
+        """
         if outcome is Outcome.MOOT:
             self.counts["moot"] += 1
         if served is not None:
@@ -216,7 +220,16 @@
         finished = exchange.final is not None
         self.post(
             AttemptEnded(
-                exchange.number, attempt, backend, outcome, elapsed_ms, finished, None, true_units, report
+                exchange.number,
+                attempt,
+                backend,
+                outcome,
+                elapsed_ms,
+                finished,
+                None,
+                true_units,
+                report,
+                first_byte_ms,
             )
         )
 
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -56,11 +56,12 @@
         "backend",
         "connection",
         "deadline_ms",
+        "end_arrived_ms",
         "entry",
         "exchange",
+        "first_byte_ms",
         "number",
         "received_bytes",
-        "received_ms",
         "sent",
     )
 
@@ -72,7 +73,9 @@
         self.connection: Connection | None = None
         self.sent = False  # whether the request may have run
         self.received_bytes = 0
-        self.received_ms = 0.0  # when the last bytes of the response arrived
+        self.first_byte_ms: float | None = None  # when the first byte of the request was written
+        # when the bytes arrived that ended the attempt; None if anything else ended it
+        self.end_arrived_ms: float | None = None
         self.aborted_as: Outcome | None = None  # TIMEOUT or CANCELLED once the gateway has ended the attempt
 
     def abort(self, outcome: Outcome) -> None:
@@ -169,10 +172,18 @@
                 self.pool.release(connection)
         self.counts[outcome.name.lower()] += 1
         ended = self.clock()
-        if attempt.aborted_as is None and attempt.received_ms:  # this process may have read the response late
-            ended = max(started, min(ended, attempt.received_ms))
+        if attempt.aborted_as is None and attempt.end_arrived_ms is not None:  # this process may read late
+            ended = max(started, min(ended, attempt.end_arrived_ms))
         self.core.attempt_ended(
-            exchange, attempt.number, attempt.backend, outcome, ended - started, served, units, report
+            exchange,
+            attempt.number,
+            attempt.backend,
+            outcome,
+            ended - started,
+            served,
+            units,
+            report,
+            attempt.first_byte_ms,
         )
 
     @staticmethod
@@ -204,7 +215,8 @@
             return Outcome.CONNECT_FAILED
         sock, reader = connection.sock, connection.reader
         while not reader.complete:
-            data, attempt.received_ms = receive(sock, 65536, self.clock)
+            attempt.end_arrived_ms = None  # a connection that breaks ends the attempt when it breaks
+            data, attempt.end_arrived_ms = receive(sock, 65536, self.clock)
             if data:
                 self._account(attempt, len(data))
                 reader.feed(data)
@@ -258,6 +270,7 @@
             exchange, attempt.number, attempt.backend, max(0.0, attempt.deadline_ms - self.clock())
         )
         sock = connection.sock
+        attempt.first_byte_ms = self.clock()
         try:
             sent = sock.send(data)
         except OSError:
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -260,6 +260,7 @@
     """An attempt ended; reported once for each attempt. over: the request has its final answer.
 
     used_percent: use of the quota by the site's meter. true_units: 0 where the backend reported none.
+    first_byte_ms: when the first byte was written, on the clock of `Gateway.handle`; None if that is unknown.
     """
 
     request: int
@@ -271,6 +272,7 @@
     used_percent: float | None = None
     true_units: float = 0.0
     report: tuple[float, ...] = ()
+    first_byte_ms: float | None = None
 
 
 @dataclass(slots=True)
