A proxy test waits for the withdrawal that it then hands to the module

Cause: the test waited for the count of clients that left. After a stall of over 300 ms the core counts a request as left at once and hands its withdrawal to the module 3 ms later (RESUME_DELAY_S), so the withdrawal could still be missing among the events that the test replays. The ingress is right. Change: the test waits for the withdrawal as well; no assertion changed, and a withdrawal that never comes fails the test.

--- a/tests/test_proxies.py
+++ b/tests/test_proxies.py
@@ -20,7 +20,7 @@
 from test_judge import CAPPED, broken_rules, scenario
 
 from tamarindfold.choice import Gateway
-from tamarindfold.interface import Count, ExternalUse
+from tamarindfold.interface import Count, ExternalUse, RequestWithdrawn
 from tamarindfold.membership.feed import ServerLine
 from tamarindfold.rehearsal.judge import judge
 from tamarindfold.rehearsal.load import LoadGenerator, _Call
@@ -232,7 +232,8 @@
     core, held_back = p.r.ingress.core, []
     real, core.gateway.handle = core.gateway.handle, lambda now, event: held_back.append(event) or []
     assert p.ask().status == 503
-    wait_for(lambda: core.counts["left"] == 1)
+    # after a stall of the process the module gets the withdrawal some milliseconds after it was counted
+    wait_for(lambda: core.counts["left"] == 1 and any(isinstance(e, RequestWithdrawn) for e in held_back))
     core.gateway.handle = real
     for event in held_back:
         core.gateway.handle(core.clock(), event)
