A repeat of a keyed request is written within its window, however late it connects

Cause: Gateway.retry_or_finish looked at the window when it decided on a further attempt. Upstream._execute then connected, for up to the connect time-out, and Core.reason_not_to_send looks at the client, the deadline and the list, but not at the window, which the action did not carry. Excluded: a late decision, and the start of the window (with that mended alone the test still had two requests for one). Change: Send.write_until_ms states the limit. The driver holds to it where every first byte passes; it waits for a connection up to the limit only, so the final answer comes at the end of the window; where a request counts from its last byte, a repeat that is not whole by then is abandoned. Such an attempt is MOOT and says nothing about the server. Suspected only: the cold budget is taken for the time of the decision.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -86,6 +86,7 @@
 COLD_BUDGET_FRACTION = 0.8  # of the work, from all gateways, that would overload a cold backend
 RETRY_TOKENS_PER_TRY = 0.1  # further attempts that each client's try adds to the retry budget
 MAX_RETRY_TOKENS = 10.0
+REPEAT_MARGIN_MS = 1.0  # a repeat may take longer on its way to the backend than the first attempt did
 MAX_WAIT_FRACTION = 0.33  # of the aim: the longest expected wait, for the highest worth per ms
 CHEAP_MAX_WAIT_FRACTION = 0.25  # the same for classes of worth zero
 OVER_QUOTA_WAIT_FACTOR = 0.5  # applied to the longest wait of requests beyond their quota
@@ -801,8 +802,8 @@
 
     # ---- attempts
 
-    def send(self, now: float, call: Call, backend: Backend) -> None:
-        """Start an attempt at this backend."""
+    def send(self, now: float, call: Call, backend: Backend, write_until_ms: float = inf) -> None:
+        """Start an attempt at this backend, unless it can't be written until then."""
         attempt = call.event.request, len(call.attempted)
         queue_factor = self.queue_factor(now, backend)
         backend.outstanding[attempt] = now, call.work_ms, queue_factor, call.event.cls
@@ -811,7 +812,7 @@
         self.mean_work_ms += (call.work_ms - self.mean_work_ms) * (1 - EWMA_DECAY) / 2
         call.attempted.append(backend)
         call.decided_at.append(now)
-        self.actions.append(Send(call.event.request, backend.entry.backend))
+        self.actions.append(Send(call.event.request, backend.entry.backend, write_until_ms=write_until_ms))
 
     def on_attempt_ended(self, now: float, event: AttemptEnded) -> None:
         """Learn from an attempt's outcome; then conclude the request or make a further attempt."""
@@ -852,7 +853,8 @@
         safe = call.cls.effect is Effect.SAFE
         keyed = call.cls.effect is Effect.KEYED
         harmless = safe or not call.may_have_run
-        repeatable = harmless or (keyed and now < call.dedup_until - 1)
+        repeat_until = inf if harmless else call.dedup_until - REPEAT_MARGIN_MS
+        repeatable = harmless or (keyed and now < repeat_until)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
         in_time = now < call.deadline - self.settings.tick_ms
         attempts_left = len(call.attempted) < self.settings.max_attempts and in_time
@@ -863,7 +865,7 @@
             and (backend := self.choose_backend(now, call)) is not None
         ):
             self.retry_tokens -= 1
-            return self.send(now, call, backend)
+            return self.send(now, call, backend, repeat_until)
         if refusable:
             return self.refuse(now, call, Why.TRIED)
         self.actions.append(Fail(call.event.request))
--- a/tamarindfold/ingress/core.py
+++ b/tamarindfold/ingress/core.py
@@ -75,7 +75,13 @@
     """Starts, runs and cancels attempts."""
 
     def start(
-        self, exchange: Exchange, attempt: int, entry: BackendEntry | None, backend: int, timeout_ms: float
+        self,
+        exchange: Exchange,
+        attempt: int,
+        entry: BackendEntry | None,
+        backend: int,
+        timeout_ms: float,
+        write_until_ms: float,
     ) -> None:
         """Start an attempt. `Core.attempt_ended` must be called exactly once for it, whatever happens."""
 
@@ -306,11 +312,13 @@
 
     # ---- checks before an attempt is written
 
-    def reason_not_to_send(self, exchange: Exchange, entry: BackendEntry | None) -> str:
+    def reason_not_to_send(
+        self, exchange: Exchange, entry: BackendEntry | None, write_until_ms: float = math.inf
+    ) -> str:
         """Why the first byte of an attempt must not be written; empty if it may be.
 
         Waits until the delay after a stall is over. Nothing yields after that wait, so the result still holds
-        when the caller writes.
+        when the caller writes. write_until_ms: the limit that the decision module set.
         """
         self.on_loop_turn(False)
         if not self.resumed.is_set():
@@ -321,6 +329,8 @@
             return "request already answered"
         if self.clock() >= exchange.give_up_ms:
             return "deadline passed"
+        if self.clock() >= write_until_ms:
+            return "too late for this attempt"
         if entry is None:
             return "server not listed"
         current = self.fleet.get(entry.backend)
@@ -365,7 +375,7 @@
 
     def _execute(self, action: Any) -> None:
         match action:
-            case Send(request, backend, timeout_ms):
+            case Send(request, backend, timeout_ms, write_until_ms):
                 exchange = self.open_exchanges.get(request)
                 if exchange is None:
                     self._report_unsent(request, backend)
@@ -381,7 +391,8 @@
                         exchange.customer, exchange.plan, exchange.width, exchange.units
                     )
                 assert self.sender is not None
-                self.sender.start(exchange, attempt, self.fleet.get(backend), backend, timeout_ms)
+                entry = self.fleet.get(backend)
+                self.sender.start(exchange, attempt, entry, backend, timeout_ms, write_until_ms)
             case Refuse(request, retry_after_ms, why):
                 if (exchange := self.open_exchanges.get(request)) is not None:
                     if self.recorder is not None:
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -60,7 +60,7 @@
     ) -> None:
         self.idle_ms, self.idle_per_server = idle_ms, idle_per_server
         self.max_per_server = connections_per_server
-        self.connect_timeout_s, self.answer_bytes, self.clock = connect_timeout_ms / 1000, answer_bytes, clock
+        self.connect_timeout_ms, self.answer_bytes, self.clock = connect_timeout_ms, answer_bytes, clock
         self.max_total, self.total_open = connections, 0
         self.source = (source_address, 0) if source_address else None
         self.idle: dict[int, list[Connection]] = {}
@@ -96,7 +96,7 @@
         self.open[backend] = self.open.get(backend, 0) + 1
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.settimeout(max(0.001, min(self.connect_timeout_s, timeout_s)))
+            sock.settimeout(max(0.001, min(self.connect_timeout_ms / 1000, timeout_s)))
             if self.source is not None:
                 sock.bind(self.source)
             sock.connect(address)
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -48,6 +48,10 @@
         """The values of the load report in the order of the settings; empty without a valid report."""
 
 
+class WriteLimitReached(Exception):
+    """The attempt's `write_until_ms` passed before its request could be written."""
+
+
 class Attempt:
     """One attempt, as started by a Send action of the decision module."""
 
@@ -63,13 +67,20 @@
         "number",
         "received_bytes",
         "sent",
+        "write_until_ms",
     )
 
     def __init__(
-        self, exchange: Exchange, number: int, entry: BackendEntry | None, backend: int, deadline_ms: float
+        self,
+        exchange: Exchange,
+        number: int,
+        entry: BackendEntry | None,
+        backend: int,
+        deadline_ms: float,
+        write_until_ms: float,
     ) -> None:
         self.exchange, self.number, self.entry, self.backend = exchange, number, entry, backend
-        self.deadline_ms = deadline_ms
+        self.deadline_ms, self.write_until_ms = deadline_ms, write_until_ms
         self.connection: Connection | None = None
         self.sent = False  # whether the request may have run
         self.received_bytes = 0
@@ -115,11 +126,20 @@
         self.counts = {outcome.name.lower(): 0 for outcome in Outcome} | {"no_room": 0}
 
     def start(
-        self, exchange: Exchange, number: int, entry: BackendEntry | None, backend: int, timeout_ms: float
+        self,
+        exchange: Exchange,
+        number: int,
+        entry: BackendEntry | None,
+        backend: int,
+        timeout_ms: float,
+        write_until_ms: float = math.inf,
     ) -> None:
-        """Queue an attempt for its request's greenlet; the outcome is reported by `Core.attempt_ended`."""
+        """Queue an attempt for its request's greenlet; the outcome is reported by `Core.attempt_ended`.
+
+        write_until_ms: if the request can't be written by then, it is not sent.
+        """
         deadline_ms = min(exchange.give_up_ms, self.clock() + timeout_ms if timeout_ms > 0 else math.inf)
-        attempt = Attempt(exchange, number, entry, backend, deadline_ms)
+        attempt = Attempt(exchange, number, entry, backend, deadline_ms, write_until_ms)
         self.running[exchange.number, number] = attempt
         exchange.add_attempt(attempt)
 
@@ -139,6 +159,8 @@
         timer = self.timers.schedule(attempt.deadline_ms, attempt.on_timeout)
         try:
             outcome = self._execute(attempt)
+        except WriteLimitReached:
+            outcome = Outcome.MOOT
         except (OSError, BadResponse):
             outcome = Outcome.RESET if attempt.sent else Outcome.CONNECT_FAILED
         finally:
@@ -195,9 +217,8 @@
         return Outcome.MOOT if attempt.aborted_as is Outcome.CANCELLED else outcome
 
     def _execute(self, attempt: Attempt) -> Outcome:
-        """Connect, write the request and read the response; raises OSError or BadResponse if that fails."""
-        exchange, reason_not_to_send = attempt.exchange, self.core.reason_not_to_send
-        if attempt.aborted_as is not None or reason_not_to_send(exchange, attempt.entry):
+        """Connect, write the request and read the response; OSError, BadResponse or WriteLimitReached."""
+        if attempt.aborted_as is not None or self._reason_not_to_send(attempt):
             return Outcome.MOOT
         try:
             attempt.connection = connection = self._connection(attempt)
@@ -205,14 +226,11 @@
             return Outcome.MOOT
         if attempt.aborted_as is not None:
             return Outcome.CONNECT_FAILED
-        if not connection.used and (  # connecting took time: check again
-            reason_not_to_send(exchange, attempt.entry)
-            or connection.process_identity != self.backends.process_identity(attempt.backend)
-        ):
+        if not connection.used and not self._may_write(attempt, connection):  # connecting took time
             connection.reader.complete = connection.reader.reusable = True  # nothing was sent on it: keep it
             return Outcome.MOOT
-        if not self._write(attempt, connection):
-            return Outcome.CONNECT_FAILED
+        if (failed := self._write(attempt, connection)) is not None:
+            return failed
         sock, reader = connection.sock, connection.reader
         while not reader.complete:
             attempt.end_arrived_ms = None  # a connection that breaks ends the attempt when it breaks
@@ -224,6 +242,15 @@
                 return Outcome.RESET
         return self.backends.outcome(reader)
 
+    def _reason_not_to_send(self, attempt: Attempt) -> str:
+        return self.core.reason_not_to_send(attempt.exchange, attempt.entry, attempt.write_until_ms)
+
+    def _may_write(self, attempt: Attempt, connection: Connection) -> bool:
+        """Whether the first byte may still be written on this connection; a wait may have changed that."""
+        return not self._reason_not_to_send(
+            attempt
+        ) and connection.process_identity == self.backends.process_identity(attempt.backend)
+
     def _account(self, attempt: Attempt, size: int) -> None:
         """Count received bytes; BadResponse if one response or the sum of all exceeds its memory bound."""
         attempt.received_bytes += size
@@ -253,12 +280,20 @@
         if address is None:
             raise ConnectionRefusedError("the server is no longer listed")
         process_identity = self.backends.process_identity(backend)  # may change while connecting
-        connection = self.pool.connect(backend, address, (attempt.deadline_ms - self.clock()) / 1000)
+        now = self.clock()
+        write_left_ms = attempt.write_until_ms - now
+        timeout_ms = min(attempt.deadline_ms - now, self.pool.connect_timeout_ms)
+        try:
+            connection = self.pool.connect(backend, address, min(timeout_ms, write_left_ms) / 1000)
+        except TimeoutError:
+            if write_left_ms < timeout_ms:  # no sign of a fault: the server did not get the usual time
+                raise WriteLimitReached from None
+            raise
         connection.process_identity = process_identity
         return connection
 
-    def _write(self, attempt: Attempt, connection: Connection) -> bool:
-        """Write the request; False if it can't have run.
+    def _write(self, attempt: Attempt, connection: Connection) -> Outcome | None:
+        """Write the request; None, or the outcome if it can't have run.
 
         That is the case if no byte was sent or, where the server needs the complete request, not all of it.
         Otherwise a connection that breaks during the write is still read: the server may have answered
@@ -266,26 +301,38 @@
         """
         exchange, needs_complete_request = attempt.exchange, self.backends.needs_complete_request
         connection.reader.begin(exchange.method == "HEAD")
-        data = self.backends.request(
-            exchange, attempt.number, attempt.backend, max(0.0, attempt.deadline_ms - self.clock())
-        )
-        sock = connection.sock
-        attempt.first_byte_ms = self.clock()
+        now = self.clock()
+        left_ms = max(0.0, attempt.deadline_ms - now)
+        data = self.backends.request(exchange, attempt.number, attempt.backend, left_ms)
+        attempt.first_byte_ms = now
+        try:
+            sent = connection.sock.send(data)
+        except OSError:
+            return Outcome.CONNECT_FAILED
+        if not needs_complete_request:
+            attempt.sent = True
         try:
-            sent = sock.send(data)
+            self._write_rest(attempt, connection, memoryview(data)[sent:])
         except OSError:
-            return False
-        if sent < len(data):
-            rest = memoryview(data)
-            if not needs_complete_request:
-                attempt.sent = True
-            try:
-                while sent < len(data):
-                    sent += sock.send(rest[sent:])
-            except OSError:
-                if needs_complete_request:
-                    return False
-                # RFC 9112 section 9.5: read the response that may have been sent
+            if needs_complete_request:
+                return Outcome.CONNECT_FAILED
+            # RFC 9112 section 9.5: read the response that may have been sent
         attempt.sent = True
         exchange.written += 1
-        return True
+        return None
+
+    def _write_rest(self, attempt: Attempt, connection: Connection, rest: memoryview) -> None:
+        """Write what the socket's buffer did not take at once; raises OSError or WriteLimitReached.
+
+        Where the server needs the complete request, the attempt counts from its last byte.
+        """
+        sock = connection.sock
+        limit_ms = attempt.write_until_ms if self.backends.needs_complete_request else math.inf
+        while rest:
+            left_ms = limit_ms - self.clock()
+            if left_ms <= 0:
+                raise WriteLimitReached
+            sock.settimeout(None if left_ms == math.inf else left_ms / 1000)
+            with suppress(TimeoutError):
+                rest = rest[sock.send(rest) :]
+        sock.settimeout(None)
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, fields
 from enum import Enum, IntEnum
+from math import inf
 
 BackendId = int
 
@@ -399,11 +400,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; timeout_ms 0: until the client gives up."""
+    """Start an attempt; timeout_ms 0: until the client gives up.
+
+    write_until_ms: the attempt must not count as begun later than this, on the clock of `Gateway.handle`. An
+    attempt that is too late is not sent and ends as MOOT.
+    """
 
     request: int
     backend: BackendId
     timeout_ms: float = 0.0
+    write_until_ms: float = inf
 
 
 @dataclass(slots=True)
