The first bytes of an attempt never wait between the checks and the write

Cause: Upstream._write called gevent's send, which waits where the connection's buffer is full of bytes that the backend has not read, and then writes. Client, deadline, list, token and window were looked at before that wait. Excluded: the waits before it (connecting, the delay after a stall), which are followed by the checks. Change: the first bytes are written without waiting; where the buffer is full the attempt waits for room and passes the same checks again. Test: the new one failed before (TIMEOUT for MOOT: the request was written and then waited for its answer) and passes.

--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from gevent import socket
+from gevent.socket import wait_write
 
 from tamarindfold.http1.responses import MAX_HEAD_BYTES, BadResponse, ResponseReader
 from tamarindfold.ingress.arrival import receive
@@ -301,14 +302,22 @@
         """
         exchange, needs_complete_request = attempt.exchange, self.backends.needs_complete_request
         connection.reader.begin(exchange.method == "HEAD")
-        now = self.clock()
-        left_ms = max(0.0, attempt.deadline_ms - now)
-        data = self.backends.request(exchange, attempt.number, attempt.backend, left_ms)
-        attempt.first_byte_ms = now
-        try:
-            sent = connection.sock.send(data)
-        except OSError:
-            return Outcome.CONNECT_FAILED
+        while True:
+            now = self.clock()
+            left_ms = max(0.0, attempt.deadline_ms - now)
+            data = self.backends.request(exchange, attempt.number, attempt.backend, left_ms)
+            attempt.first_byte_ms = now
+            try:
+                sent = connection.sock._sock.send(data)  # never waits: the checks hold for now only
+                break
+            except BlockingIOError:  # unread bytes of an earlier request fill the buffer
+                self._wait_until_writable(attempt, connection)
+            except OSError:
+                return Outcome.CONNECT_FAILED
+            if attempt.aborted_as is not None:
+                return Outcome.CONNECT_FAILED
+            if not self._may_write(attempt, connection):
+                return Outcome.MOOT
         if not needs_complete_request:
             attempt.sent = True
         try:
@@ -321,6 +330,12 @@
         exchange.written += 1
         return None
 
+    def _wait_until_writable(self, attempt: Attempt, connection: Connection) -> None:
+        """Wait until the socket takes bytes, was shut down, or the attempt is too late."""
+        left_ms = attempt.write_until_ms - self.clock()
+        with suppress(TimeoutError):
+            wait_write(connection.sock.fileno(), None if left_ms == math.inf else max(0.0, left_ms) / 1000)
+
     def _write_rest(self, attempt: Attempt, connection: Connection, rest: memoryview) -> None:
         """Write what the socket's buffer did not take at once; raises OSError or WriteLimitReached.
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -9,7 +9,7 @@
 import pytest
 from build import START, ended, gateway, request
 from gevent import socket
-from rig import wait_for
+from rig import read_answer, wait_for
 from test_platform import SETTINGS
 from testbed import PLANS, PlatformTestbed
 
@@ -209,3 +209,42 @@
     assert [end.outcome for end in ends] == [Outcome.RESET, Outcome.MOOT]
     wait_for(lambda: not testbed.node.pool.total_open)
     assert sum(read_bytes) < len(body)
+
+
+def test_attempt_that_waits_for_room_in_the_socket_is_not_sent_to_a_backend_that_drains(
+    start_testbed, monkeypatch
+) -> None:
+    """Guards against a send after a drain: the check was made before the first byte had to wait."""
+    testbed = start_with_keyed_class(start_testbed)
+    unread: list[socket.socket] = []
+    got: list[bytes] = []
+
+    def serve(sock: socket.socket, peer: tuple[str, int]) -> None:
+        unread.append(sock)
+        wait_for(lambda: testbed.node.directory.generation == 42)
+        while data := sock.recv(65_536):
+            got.append(data)
+
+    connect = testbed.node.pool.connect
+
+    def connect_with_full_buffer(*args: Any) -> Any:
+        """A connection whose buffer holds bytes that the backend has not read yet."""
+        connection = connect(*args)
+        with pytest.raises(BlockingIOError):
+            while True:
+                connection.sock._sock.send(b"o" * 65_536)
+        return connection
+
+    for backend in testbed.backends:
+        monkeypatch.setattr(backend, "serve", serve)
+    monkeypatch.setattr(testbed.node.pool, "connect", connect_with_full_buffer)
+    ends = record_outcomes(testbed, monkeypatch)
+    sock = testbed.connect()
+    sock.sendall(testbed.request_bytes(cls="book", body=b"body"))
+    wait_for(lambda: unread)
+    draining = [testbed.instance(i, lifecycle="leaving") for i in range(2)]
+    testbed.discovery.change(*draining)
+    assert read_answer(sock).status == 503
+    assert [end.outcome for end in ends] == [Outcome.MOOT]
+    wait_for(lambda: not testbed.node.pool.total_open)
+    assert set(b"".join(got)) == {ord("o")}
