A restarted ingress waits up to 9 s for discovery before it listens, for 1.5 s before

Cause: Node.start waited first_list_timeout_ms (1.5 s) for what happened since the list in its configuration, then listened and took that list for current. What the agent has counts from the first moment of a process, and discovery may be silent for 8 s. Excluded: a change that was heard and ignored (five calls without an answer until discovery was back), and requests taken before the wait (the listener opens after it). Change: the wait ends 1 s before the platform's limit for being ready (nine in ten within 10 s); node.listening has list_waited_ms.

--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -8,6 +8,8 @@
 ANSWER_MEMORY_SHARE = 0.15  # of all memory; as much again may be buffered for clients that read slowly
 IDLE_CLIENTS_SHARE = 1 / 6  # of all descriptors; well-behaved clients hold at most a third of them
 CLIENT_SHARE = 0.55  # of the descriptors that are not reserved
+READY_TARGET_MS = 10_000  # the platform's limit for nine in ten restarted ingresses, from the process's start
+STARTUP_RESERVE_MS = 1_000  # of that, for loading the program and opening the listener
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +43,8 @@
     counts_interval_ms: float = 10_000
     # with this many idle client connections, each response closes its own connection
     max_idle_connections: int = 64
-    first_list_timeout_ms: float = 1_500  # wait at start for the changes since the initial list
+    # wait at start for the changes since the initial list: an outage of discovery of 8 s passes meanwhile
+    first_list_timeout_ms: float = READY_TARGET_MS - STARTUP_RESERVE_MS
 
 
 def allocate_limits(sockets: int, memory_mb: float, open_cap: int) -> Limits:
--- a/tamarindfold/node/server.py
+++ b/tamarindfold/node/server.py
@@ -106,9 +106,11 @@
             )
             self.core.send_count = self.counter.call
         # Clients connect as soon as this listens, and their requests must not be routed by an outdated list.
+        wait_began = self.steady.now()
         self.watch.subscription.wait_for_first_message(
             limits.first_list_timeout_ms, self.log, stop, generation=self.directory.generation
         )
+        waited_ms = round(self.steady.now() - wait_began)
         if stop is not None and stop.is_set():
             return
         self.listener = StreamServer(
@@ -119,7 +121,12 @@
         enable_arrival_timestamps(self.listener.socket)
         self.listener.start()
         self.greenlets = [gevent.spawn(self._heartbeat), gevent.spawn(self._log_counts)]
-        self.log("node.listening", clients=limits.connections, backends=limits.backend_connections)
+        self.log(
+            "node.listening",
+            clients=limits.connections,
+            backends=limits.backend_connections,
+            list_waited_ms=waited_ms,
+        )
 
     def change_addresses(self, discovery: Address, counter: Address | None) -> None:
         """Reach discovery and the counter at other addresses from now on."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,6 +19,7 @@
 from test_platform import CONFIG
 from testbed import free_port
 
+from tamarindfold.links.subscription import Subscription
 from tamarindfold.node import discovery as discovery_driver
 from tamarindfold.node.limits import RESERVED_DESCRIPTORS, allocate_limits
 from tamarindfold.platform import configuration
@@ -317,6 +318,38 @@
     assert not testbed.backends[0].ledger.entries_of_kind("came")
 
 
+def test_start_in_an_outage_of_discovery_sends_nothing_to_backends_that_drain(
+    start_testbed, monkeypatch
+) -> None:
+    """Guards against requests that are routed by the list from before a restart while discovery is silent.
+
+    The outage is as long as the platform's longest one. It ends as soon as the ingress waits for longer.
+    """
+    outage_ms, ready_limit_ms = 8_000, 10_000
+    testbed = start_testbed(start=False)
+    testbed.config["known"] = {
+        "generation": 41,
+        "reset": True,
+        "instances": [testbed.instance(0), testbed.instance(1)],
+    }
+    testbed.discovery.change(testbed.instance(0, lifecycle="leaving"))
+    testbed.discovery.inject(Fault(kind="silent"))
+    wait, waits_ms = Subscription.wait_for_first_message, []
+
+    def wait_in_outage(self: Subscription, timeout_ms: float, *args: Any, **details: Any) -> None:
+        waits_ms.append(timeout_ms)
+        if timeout_ms > outage_ms:
+            testbed.discovery.clear()
+            wait(self, timeout_ms, *args, **details)
+
+    monkeypatch.setattr(Subscription, "wait_for_first_message", wait_in_outage)
+    testbed.run()
+    sock = testbed.connect()
+    assert [testbed.ask(sock).status for _ in range(8)] == [200] * 8
+    assert not testbed.backends[0].ledger.entries_of_kind("came")
+    assert len(waits_ms) == 1 and waits_ms[0] < ready_limit_ms
+
+
 @pytest.mark.parametrize("discovery", ["silent", "away"])
 def test_ingress_without_discovery_serves_by_its_initial_list(start_testbed, monkeypatch, discovery) -> None:
     monkeypatch.setattr(
