Upstream in short functions; the attempt and the adapter protocol in modules of their own

Need: Upstream.run and _write had grown to 50 lines each, with three ways to say that nothing was sent (a MOOT, an outcome for None, an exception), and the file held three classes with different jobs. Change: ingress/attempt.py holds the attempt and AttemptNotSent, ingress/backend_protocol.py what is needed to speak to servers. What keeps an attempt from being sent is one exception from one of two checks; connecting, the first bytes, the rest, reading and releasing the connection are a function each. No change in what is sent, reported or counted.

--- a/tamarindfold/ingress/forward_auth.py
+++ b/tamarindfold/ingress/forward_auth.py
@@ -33,12 +33,12 @@
 from tamarindfold.ingress import headers as names
 from tamarindfold.ingress import responses
 from tamarindfold.ingress.admission import RequestParameters
+from tamarindfold.ingress.attempt import Attempt
 from tamarindfold.ingress.authentication import Authenticator
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import ClientLeft, Exchange, Failed, Final, PermitLapsed, Refused, Served
 from tamarindfold.ingress.front import AuthenticatedConnection, Front, Overloaded
 from tamarindfold.ingress.timers import Timers
-from tamarindfold.ingress.upstream import Attempt
 from tamarindfold.interface import Outcome, Why
 
 REPORT = b"/report"
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -10,13 +10,13 @@
 import math
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Protocol
 
-from gevent import socket
 from gevent.socket import wait_write
 
-from tamarindfold.http1.responses import MAX_HEAD_BYTES, BadResponse, ResponseReader
+from tamarindfold.http1.responses import MAX_HEAD_BYTES, BadResponse
 from tamarindfold.ingress.arrival import receive
+from tamarindfold.ingress.attempt import Attempt, AttemptNotSent
+from tamarindfold.ingress.backend_protocol import BackendAdapter
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Served
 from tamarindfold.ingress.pool import Connection, ConnectionLimitReached, Pool
@@ -24,85 +24,6 @@
 from tamarindfold.interface import BackendEntry, Effect, Outcome
 
 
-class BackendAdapter(Protocol):
-    """Encodes requests for the servers and interprets their responses. No I/O."""
-
-    # True: an attempt can have run only if all of it was written; False: from its first byte on.
-    needs_complete_request: bool
-
-    def address(self, backend: int) -> tuple[str, int] | None:
-        """The address of a server; None if it is no longer known."""
-
-    def process_identity(self, backend: int) -> object:
-        """A value that distinguishes the process now behind this server number from any other one."""
-
-    def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
-        """The request bytes of an attempt."""
-
-    def outcome(self, reader: ResponseReader) -> Outcome:
-        """The outcome that a complete response means."""
-
-    def units(self, reader: ResponseReader) -> float:
-        """The units that the request actually used; 0 if the response does not say."""
-
-    def report(self, reader: ResponseReader) -> tuple[float, ...]:
-        """The values of the load report in the order of the settings; empty without a valid report."""
-
-
-class WriteLimitReached(Exception):
-    """The attempt's `write_until_ms` passed before its request could be written."""
-
-
-class Attempt:
-    """One attempt, as started by a Send action of the decision module."""
-
-    __slots__ = (
-        "aborted_as",
-        "backend",
-        "connection",
-        "deadline_ms",
-        "end_arrived_ms",
-        "entry",
-        "exchange",
-        "first_byte_ms",
-        "number",
-        "received_bytes",
-        "sent",
-        "write_until_ms",
-    )
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        number: int,
-        entry: BackendEntry | None,
-        backend: int,
-        deadline_ms: float,
-        write_until_ms: float,
-    ) -> None:
-        self.exchange, self.number, self.entry, self.backend = exchange, number, entry, backend
-        self.deadline_ms, self.write_until_ms = deadline_ms, write_until_ms
-        self.connection: Connection | None = None
-        self.sent = False  # whether the request may have run
-        self.received_bytes = 0
-        self.first_byte_ms: float | None = None  # when the first byte of the request was written
-        # when the bytes arrived that ended the attempt; None if anything else ended it
-        self.end_arrived_ms: float | None = None
-        self.aborted_as: Outcome | None = None  # TIMEOUT or CANCELLED once the gateway has ended the attempt
-
-    def abort(self, outcome: Outcome) -> None:
-        """Interrupt the attempt by shutting down its connection, which can't be used again."""
-        if self.aborted_as is None:
-            self.aborted_as = outcome
-            if self.connection is not None:
-                with suppress(OSError):  # already closed by the peer
-                    self.connection.sock.shutdown(socket.SHUT_RDWR)
-
-    def on_timeout(self) -> None:
-        """Called by the timer at `deadline_ms`."""
-        self.abort(Outcome.TIMEOUT)
-
-
 class Upstream:
     """Executes Send and Cancel actions."""
 
@@ -160,7 +81,7 @@
         timer = self.timers.schedule(attempt.deadline_ms, attempt.on_timeout)
         try:
             outcome = self._execute(attempt)
-        except WriteLimitReached:
+        except (AttemptNotSent, ConnectionLimitReached):
             outcome = Outcome.MOOT
         except (OSError, BadResponse):
             outcome = Outcome.RESET if attempt.sent else Outcome.CONNECT_FAILED
@@ -171,44 +92,51 @@
         served, units = None, 0.0
         report: tuple[float, ...] = ()
         connection = attempt.connection
-        if connection is None or not connection.reader.complete:
-            if attempt.aborted_as is not None:
-                outcome = self._aborted_outcome(attempt, outcome)
-            if connection is not None:
-                if connection.used and outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
-                    self.pool.last_broken_ms = self.clock()
-                self.pool.close(connection)
-        else:
+        if connection is not None and connection.reader.complete:
             reader = connection.reader
+            report = self.backends.report(reader)
             if outcome is Outcome.OK:
                 served = Served(reader.status, reader.headers, reader.body)
                 units = self.backends.units(reader)
-            report = self.backends.report(reader)
-            # An aborted attempt has shut its connection down, even if the response was complete.
-            # The server may also have been replaced during the attempt.
-            if (
-                attempt.aborted_as is not None
-                or connection.process_identity != self.backends.process_identity(attempt.backend)
-            ):
-                self.pool.close(connection)
-            else:
-                self.pool.release(connection)
+        elif attempt.aborted_as is not None:
+            outcome = self._aborted_outcome(attempt, outcome)
+        if connection is not None:
+            self._release(attempt, connection, outcome)
         self.counts[outcome.name.lower()] += 1
-        ended = self.clock()
-        if attempt.aborted_as is None and attempt.end_arrived_ms is not None:  # this process may read late
-            ended = max(started, min(ended, attempt.end_arrived_ms))
         self.core.attempt_ended(
             exchange,
             attempt.number,
             attempt.backend,
             outcome,
-            ended - started,
+            self._ended_at(attempt, started) - started,
             served,
             units,
             report,
             attempt.first_byte_ms,
         )
 
+    def _ended_at(self, attempt: Attempt, started: float) -> float:
+        """When the attempt ended; this process may have read the bytes that ended it late."""
+        now = self.clock()
+        if attempt.aborted_as is not None or attempt.end_arrived_ms is None:
+            return now
+        return max(started, min(now, attempt.end_arrived_ms))
+
+    def _release(self, attempt: Attempt, connection: Connection, outcome: Outcome) -> None:
+        """Return the connection to the pool, or close it if it can't be used again."""
+        if not connection.reader.complete:
+            if connection.used and outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
+                self.pool.last_broken_ms = self.clock()
+            self.pool.close(connection)
+        elif attempt.aborted_as is not None or self._is_replaced(attempt, connection):
+            self.pool.close(connection)  # an abort shuts it down, even if the response was complete
+        else:
+            self.pool.release(connection)
+
+    def _is_replaced(self, attempt: Attempt, connection: Connection) -> bool:
+        """Whether another process is now behind the server's number than at the connection's other end."""
+        return connection.process_identity != self.backends.process_identity(attempt.backend)
+
     @staticmethod
     def _aborted_outcome(attempt: Attempt, outcome: Outcome) -> Outcome:
         """The outcome of an aborted attempt; one that was not sent can't have run."""
@@ -218,20 +146,42 @@
         return Outcome.MOOT if attempt.aborted_as is Outcome.CANCELLED else outcome
 
     def _execute(self, attempt: Attempt) -> Outcome:
-        """Connect, write the request and read the response; OSError, BadResponse or WriteLimitReached."""
-        if attempt.aborted_as is not None or self._reason_not_to_send(attempt):
-            return Outcome.MOOT
-        try:
-            attempt.connection = connection = self._connection(attempt)
-        except ConnectionLimitReached:  # a limit of this gateway; not the server's failure
-            return Outcome.MOOT
+        """Connect, write the request and read the response.
+
+        Raises AttemptNotSent or ConnectionLimitReached if this gateway did not send the request, OSError or
+        BadResponse if the attempt failed.
+        """
+        if attempt.aborted_as is not None:
+            raise AttemptNotSent
+        self._require_sendable(attempt)
+        attempt.connection = connection = self._connection(attempt)
         if attempt.aborted_as is not None:
             return Outcome.CONNECT_FAILED
-        if not connection.used and not self._may_write(attempt, connection):  # connecting took time
+        if not connection.used:  # connecting took time
+            self._check_new_connection(attempt, connection)
+        self._write(attempt, connection)
+        return self._read(attempt, connection)
+
+    def _require_sendable(self, attempt: Attempt) -> None:
+        """Raise AttemptNotSent if the attempt must not be sent any more."""
+        if self.core.reason_not_to_send(attempt.exchange, attempt.entry, attempt.write_until_ms):
+            raise AttemptNotSent
+
+    def _require_writable(self, attempt: Attempt, connection: Connection) -> None:
+        """Raise AttemptNotSent if a wait has changed whether the attempt may be written on its connection."""
+        self._require_sendable(attempt)
+        if self._is_replaced(attempt, connection):
+            raise AttemptNotSent
+
+    def _check_new_connection(self, attempt: Attempt, connection: Connection) -> None:
+        try:
+            self._require_writable(attempt, connection)
+        except AttemptNotSent:
             connection.reader.complete = connection.reader.reusable = True  # nothing was sent on it: keep it
-            return Outcome.MOOT
-        if (failed := self._write(attempt, connection)) is not None:
-            return failed
+            raise
+
+    def _read(self, attempt: Attempt, connection: Connection) -> Outcome:
+        """Read the response and return the outcome that it means."""
         sock, reader = connection.sock, connection.reader
         while not reader.complete:
             attempt.end_arrived_ms = None  # a connection that breaks ends the attempt when it breaks
@@ -243,15 +193,6 @@
                 return Outcome.RESET
         return self.backends.outcome(reader)
 
-    def _reason_not_to_send(self, attempt: Attempt) -> str:
-        return self.core.reason_not_to_send(attempt.exchange, attempt.entry, attempt.write_until_ms)
-
-    def _may_write(self, attempt: Attempt, connection: Connection) -> bool:
-        """Whether the first byte may still be written on this connection; a wait may have changed that."""
-        return not self._reason_not_to_send(
-            attempt
-        ) and connection.process_identity == self.backends.process_identity(attempt.backend)
-
     def _account(self, attempt: Attempt, size: int) -> None:
         """Count received bytes; BadResponse if one response or the sum of all exceeds its memory bound."""
         attempt.received_bytes += size
@@ -277,6 +218,11 @@
             idle = self.pool.acquire_idle(backend)
             if idle is not None:
                 return idle
+        return self._connect(attempt)
+
+    def _connect(self, attempt: Attempt) -> Connection:
+        """A new connection to the attempt's server, waited for no longer than the attempt may be written."""
+        backend = attempt.backend
         address = self.backends.address(backend)
         if address is None:
             raise ConnectionRefusedError("the server is no longer listed")
@@ -288,47 +234,47 @@
             connection = self.pool.connect(backend, address, min(timeout_ms, write_left_ms) / 1000)
         except TimeoutError:
             if write_left_ms < timeout_ms:  # no sign of a fault: the server did not get the usual time
-                raise WriteLimitReached from None
+                raise AttemptNotSent from None
             raise
         connection.process_identity = process_identity
         return connection
 
-    def _write(self, attempt: Attempt, connection: Connection) -> Outcome | None:
-        """Write the request; None, or the outcome if it can't have run.
+    def _write(self, attempt: Attempt, connection: Connection) -> None:
+        """Write the request. Raises OSError or AttemptNotSent if it can't have run.
 
         That is the case if no byte was sent or, where the server needs the complete request, not all of it.
         Otherwise a connection that breaks during the write is still read: the server may have answered
         before it closed.
         """
-        exchange, needs_complete_request = attempt.exchange, self.backends.needs_complete_request
-        connection.reader.begin(exchange.method == "HEAD")
+        connection.reader.begin(attempt.exchange.method == "HEAD")
+        rest = self._write_first_bytes(attempt, connection)
+        if self.backends.needs_complete_request:
+            self._write_rest(attempt, connection, rest, attempt.write_until_ms)
+        else:
+            attempt.sent = True
+            with suppress(OSError):  # RFC 9112 section 9.5: read the response that may have been sent
+                self._write_rest(attempt, connection, rest, math.inf)
+        attempt.sent = True
+        attempt.exchange.written += 1
+
+    def _write_first_bytes(self, attempt: Attempt, connection: Connection) -> memoryview:
+        """Write what the socket takes at once and return the rest.
+
+        The checks before this call hold for this moment only, so they are repeated after any wait.
+        """
+        exchange = attempt.exchange
         while True:
             now = self.clock()
             left_ms = max(0.0, attempt.deadline_ms - now)
             data = self.backends.request(exchange, attempt.number, attempt.backend, left_ms)
             attempt.first_byte_ms = now
             try:
-                sent = connection.sock._sock.send(data)  # never waits: the checks hold for now only
-                break
+                return memoryview(data)[connection.sock._sock.send(data) :]  # never waits
             except BlockingIOError:  # unread bytes of an earlier request fill the buffer
                 self._wait_until_writable(attempt, connection)
-            except OSError:
-                return Outcome.CONNECT_FAILED
             if attempt.aborted_as is not None:
-                return Outcome.CONNECT_FAILED
-            if not self._may_write(attempt, connection):
-                return Outcome.MOOT
-        if not needs_complete_request:
-            attempt.sent = True
-        try:
-            self._write_rest(attempt, connection, memoryview(data)[sent:])
-        except OSError:
-            if needs_complete_request:
-                return Outcome.CONNECT_FAILED
-            # RFC 9112 section 9.5: read the response that may have been sent
-        attempt.sent = True
-        exchange.written += 1
-        return None
+                raise ConnectionAbortedError("ended while the server read nothing")
+            self._require_writable(attempt, connection)
 
     def _wait_until_writable(self, attempt: Attempt, connection: Connection) -> None:
         """Wait until the socket takes bytes, was shut down, or the attempt is too late."""
@@ -336,17 +282,15 @@
         with suppress(TimeoutError):
             wait_write(connection.sock.fileno(), None if left_ms == math.inf else max(0.0, left_ms) / 1000)
 
-    def _write_rest(self, attempt: Attempt, connection: Connection, rest: memoryview) -> None:
-        """Write what the socket's buffer did not take at once; raises OSError or WriteLimitReached.
-
-        Where the server needs the complete request, the attempt counts from its last byte.
-        """
+    def _write_rest(
+        self, attempt: Attempt, connection: Connection, rest: memoryview, limit_ms: float
+    ) -> None:
+        """Write what the socket did not take at once; AttemptNotSent if that takes until limit_ms."""
         sock = connection.sock
-        limit_ms = attempt.write_until_ms if self.backends.needs_complete_request else math.inf
         while rest:
             left_ms = limit_ms - self.clock()
             if left_ms <= 0:
-                raise WriteLimitReached
+                raise AttemptNotSent
             sock.settimeout(None if left_ms == math.inf else left_ms / 1000)
             with suppress(TimeoutError):
                 rest = rest[sock.send(rest) :]
