The client libraries write a keyed repeat within its window, however late it connects

Seen: no caller's report. Cause: Call._try looked at the window when it decided on a try; the drivers then waited for a token and a connection, for up to half of the time left, and wrote without a second look. Change: Send.write_left_ms carries the limit. Waits for a token and a connection end with it; httpx's trace event before the first byte is passed by every try (blocking and asyncio); in Node a connection that is not open by then is given up. Such a try is TooLate, which is not the gateway's fault. The vectors have both (rewritten by tamarindfold.client.vectors).

--- a/clients/js/core.mjs
+++ b/clients/js/core.mjs
@@ -153,7 +153,8 @@
  *
  * spec: the effect of the call ("safe", "keyed" or "unsafe"), deadlineMs, and for a keyed call windowMs: how long
  * servers drop repeats, counted from the first try. Hand `handle` each event with the current time and carry out
- * the action that it returns: "send", "wait" or "result".
+ * the action that it returns: "send", "wait" or "result". A try that can't be written within writeLeftMs of its "send"
+ * is not sent: "too_late".
  */
 export class Call {
   constructor(rules, spec, gateways, budget, reconnects, draw) {
@@ -192,6 +193,9 @@
       case "no_token":
         this.gateways.cancelTry(gateway);
         return this.#retryOrEnd(now, "no token was to be had");
+      case "too_late": // nothing was sent, which is not the gateway's fault
+        this.gateways.cancelTry(gateway);
+        return this.#retryOrEnd(now, "the try could not be written in time");
       default: // "broken": the connection was open, but no complete answer came
         this.gateways.recordFailure(now, gateway);
         this.reconnects.connectionLost(now, gateway);
@@ -268,7 +272,7 @@
     this.waitedToReconnect = false;
     if (!this.tries) this.firstSent = now;
     const send = { kind: "send", gateway, number: this.tries, retry: this.retry, timeLeftMs: this.spec.deadlineMs - now,
-      freshToken: this.freshToken, effect: this.spec.effect };
+      freshToken: this.freshToken, effect: this.spec.effect, writeLeftMs: left };
     this.tries += 1;
     this.freshToken = false;
     this.inFlight = gateway;
--- a/clients/js/index.mjs
+++ b/clients/js/index.mjs
@@ -73,6 +73,8 @@
     }
     const left = send.timeLeftMs - (now() - startedAt);
     if (left <= 0) return [{ kind: "no_token" }, noAnswer];
+    const writeLeft = send.writeLeftMs - (now() - startedAt);
+    if (writeLeft <= 0) return [{ kind: "too_late" }, noAnswer];
     const ownHeaders = { authorization: `Bearer ${token}`, "tamarind-request": `${name}.${send.number}`,
       "tamarind-time-left": String(Math.max(1, Math.floor(left))), "content-length": Buffer.byteLength(body) };
     if (units !== undefined) ownHeaders["tamarind-units"] = String(units);
@@ -94,7 +96,10 @@
         agent: send.effect === "unsafe" ? this.singleUseAgent : this.keepAliveAgent });
       const fail = () => end({ kind: connected ? "broken" : "unreached" });
       const deadlineTimer = setTimeout(fail, left);
-      const connectTimer = setTimeout(() => connected || end({ kind: "unreached" }), left * CONNECT_SHARE);
+      // The request is written as soon as the connection is open: a connection that is late must not open any more.
+      const cutShort = writeLeft < left * CONNECT_SHARE;
+      const connectTimer = setTimeout(() => connected || end({ kind: cutShort ? "too_late" : "unreached" }),
+        cutShort ? writeLeft : left * CONNECT_SHARE);
       request.on("socket", (socket) => {
         if (!socket.connecting) connected = true; // a reused connection: the request is written at once
         else socket.once("connect", () => { connected = true; });
--- a/tamarindfold/client/aio.py
+++ b/tamarindfold/client/aio.py
@@ -7,14 +7,15 @@
 
 import httpx
 
-from tamarindfold.client.core import Broken, Event, NoToken, Result, Send, Wait, Woke
+from tamarindfold.client.core import Broken, Event, NoToken, Result, Send, TooLate, Wait, Woke
 from tamarindfold.client.shared import (
     NO_ANSWER,
     ClientState,
+    WriteLimit,
+    WriteLimitReached,
     Reply,
     Settings,
     answer_event,
-    error_event,
     now_ms,
     try_headers,
 )
@@ -104,10 +105,13 @@
         extra: dict[str, str],
     ) -> tuple[Event, Reply]:
         started = now_ms()
-        token = await self._token(started + send.time_left_ms)
+        limit = WriteLimit(send, started)
+        token = await self._token(limit.until_ms)
         left_ms = send.time_left_ms - (now_ms() - started)
         if token is None or left_ms <= 0:
             return NoToken(), NO_ANSWER
+        if limit.left_ms <= 0:
+            return TooLate(), NO_ANSWER
         client = self.pooled if send.effect != "unsafe" else self.unpooled
         request_headers = extra | try_headers(send, name, units, key, token)
         try:
@@ -118,15 +122,16 @@
                     send.gateway + path,
                     content=body or None,
                     headers=request_headers,
-                    timeout=self.state.timeout(left_ms),
+                    timeout=limit.timeout(self.state.timeout(left_ms)),
+                    extensions={"trace": limit.async_trace},
                 ) as answer,
             ):
                 parts = [part async for part in answer.aiter_raw()]
         except TimeoutError:
             return Broken(), NO_ANSWER
-        except (httpx.TransportError, httpx.InvalidURL, RuntimeError) as error:
+        except (httpx.TransportError, httpx.InvalidURL, RuntimeError, WriteLimitReached) as error:
             # httpx raises RuntimeError if the client was closed in the meantime
-            return error_event(error), NO_ANSWER
+            return limit.failed_try(error), NO_ANSWER
         if answer.status_code == 401:
             self.state.tokens.rejected(token)
         received = dict(answer.headers)
--- a/tamarindfold/client/blocking.py
+++ b/tamarindfold/client/blocking.py
@@ -7,14 +7,15 @@
 
 import httpx
 
-from tamarindfold.client.core import Broken, Event, NoToken, Result, Send, Wait, Woke
+from tamarindfold.client.core import Broken, Event, NoToken, Result, Send, TooLate, Wait, Woke
 from tamarindfold.client.shared import (
     NO_ANSWER,
     ClientState,
+    WriteLimit,
+    WriteLimitReached,
     Reply,
     Settings,
     answer_event,
-    error_event,
     now_ms,
     try_headers,
 )
@@ -101,10 +102,13 @@
     ) -> tuple[Event, Reply]:
         """Send one try; returns its event and the answer."""
         started = now_ms()
-        token = self._token(send, started + send.time_left_ms)
+        limit = WriteLimit(send, started)
+        token = self._token(send, limit.until_ms)
         left_ms = send.time_left_ms - (now_ms() - started)
         if token is None or left_ms <= 0:
             return NoToken(), NO_ANSWER
+        if limit.left_ms <= 0:
+            return TooLate(), NO_ANSWER
         client = self.pooled if send.effect != "unsafe" else self.unpooled
         request_headers = extra | try_headers(send, name, units, key, token)
         try:
@@ -113,16 +117,17 @@
                 send.gateway + path,
                 content=body or None,
                 headers=request_headers,
-                timeout=self.state.timeout(left_ms),
+                timeout=limit.timeout(self.state.timeout(left_ms)),
+                extensions={"trace": limit.trace},
             ) as answer:
                 parts = []
                 for part in answer.iter_raw():  # without a chunk size, which would wait for a full chunk
                     parts.append(part)
                     if now_ms() - started > send.time_left_ms:
                         return Broken(), NO_ANSWER  # a slow answer: each read was in time, the total is not
-        except (httpx.TransportError, httpx.InvalidURL, RuntimeError) as error:
+        except (httpx.TransportError, httpx.InvalidURL, RuntimeError, WriteLimitReached) as error:
             # httpx raises RuntimeError if the client was closed in the meantime
-            return error_event(error), NO_ANSWER
+            return limit.failed_try(error), NO_ANSWER
         if answer.status_code == 401:
             with self.lock:
                 self.state.tokens.rejected(token)
--- a/tamarindfold/client/core.py
+++ b/tamarindfold/client/core.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from tamarindfold.client.budget import RetryBudget
 from tamarindfold.client.gateways import Gateways
@@ -80,12 +81,17 @@
     """Nothing was sent because no token could be obtained, which is not the gateway's fault."""
 
 
+@dataclass(frozen=True, slots=True)
+class TooLate:
+    """Nothing was sent because the try could not be written in time, which is not the gateway's fault."""
+
+
 @dataclass(frozen=True, slots=True)
 class Woke:
     """The wait is over."""
 
 
-Event = Answered | Unreached | Broken | NoToken | Woke
+Event = Answered | Unreached | Broken | NoToken | TooLate | Woke
 
 
 # ---- actions
@@ -93,7 +99,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send a try. retry: mark it as a retry; fresh_token: fetch a new token first."""
+    """Send a try. retry: mark it as a retry; fresh_token: fetch a new token first.
+
+    write_left_ms: it must not be written later than this; it then ends as TooLate.
+    """
 
     gateway: str
     number: int
@@ -101,6 +110,7 @@
     time_left_ms: float
     fresh_token: bool = False
     effect: str = "safe"  # an unsafe try needs a connection of its own
+    write_left_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +185,9 @@
             case NoToken():
                 self.gateways.cancel_try(gateway)
                 return self._retry_or_end(now, "no token was to be had")
+            case TooLate():
+                self.gateways.cancel_try(gateway)
+                return self._retry_or_end(now, "the try could not be written in time")
             case Broken():
                 self.gateways.record_failure(now, gateway)
                 self.reconnects.connection_lost(now, gateway)
@@ -254,7 +267,15 @@
         fresh_token, self.fresh_token = self.fresh_token, False
         self.in_flight = gateway
         self.tried.append(gateway)
-        return Send(gateway, number, self.retry, self.spec.deadline_ms - now, fresh_token, self.spec.effect)
+        return Send(
+            gateway,
+            number,
+            self.retry,
+            self.spec.deadline_ms - now,
+            fresh_token,
+            self.spec.effect,
+            write_left_ms=left_ms,
+        )
 
     def stop(self) -> Result:
         """End the call because the client is closed; a try in flight may still run."""
--- a/tamarindfold/client/shared.py
+++ b/tamarindfold/client/shared.py
@@ -9,12 +9,24 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from random import SystemRandom
+from typing import Any
 from urllib.parse import quote_plus, urlsplit
 
 import httpx
 
 from tamarindfold.client.budget import RetryBudget
-from tamarindfold.client.core import Answered, Broken, Call, CallSpec, Outcome, Result, Rules, Send, Unreached
+from tamarindfold.client.core import (
+    Answered,
+    Broken,
+    Call,
+    CallSpec,
+    Outcome,
+    Result,
+    Rules,
+    Send,
+    TooLate,
+    Unreached,
+)
 from tamarindfold.client.gateways import Gateways
 from tamarindfold.client.jitter import ReconnectSchedule
 from tamarindfold.client.protocol import headers
@@ -29,7 +41,13 @@
     httpx.UnsupportedProtocol,
     httpx.InvalidURL,
 )
+MIN_TIMEOUT_S = 0.001  # time-outs must be positive
 CONNECT_SHARE = 0.5  # of the time left: the limit for connecting, so that another gateway can be tried
+FIRST_BYTE_EVENT = "http11.send_request_headers.started"  # httpx's event before the first byte is written
+
+
+class WriteLimitReached(Exception):
+    """The time in which a try may be written has passed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,8 +121,8 @@
         return call, f"{self.prefix}-{self.call_count}"
 
     def timeout(self, left_ms: float) -> httpx.Timeout:
-        """The time-outs of one try."""
-        left_s = max(0.001, left_ms / 1000)
+        """The time-outs of one request."""
+        left_s = max(MIN_TIMEOUT_S, left_ms / 1000)
         return httpx.Timeout(left_s, connect=left_s * CONNECT_SHARE, pool=left_s * CONNECT_SHARE)
 
     def limits(self, reuse: bool) -> httpx.Limits:
@@ -143,6 +161,47 @@
             self.tokens.failed(now_ms())
 
 
+class WriteLimit:
+    """Stops a try that is about to be written too late; `trace` is called by httpx, see its trace extension.
+
+    A try is decided on before the wait for a token and for a connection, which may outlast the time in which
+    servers drop repeats of a key.
+    """
+
+    def __init__(self, send: Send, started_ms: float) -> None:
+        self.until_ms = started_ms + send.write_left_ms
+        self.cuts_connecting = False  # whether connecting gets less than its usual time
+
+    @property
+    def left_ms(self) -> float:
+        """The time in which the try may still be written."""
+        return self.until_ms - now_ms()
+
+    def timeout(self, usual: httpx.Timeout) -> httpx.Timeout:
+        """The usual time-outs, but a connection is waited for only as long as the try may be written."""
+        left_s = max(MIN_TIMEOUT_S, self.left_ms / 1000)
+        if usual.connect is None or left_s >= usual.connect:
+            return usual
+        self.cuts_connecting = True
+        return httpx.Timeout(usual.read, connect=left_s, pool=left_s)
+
+    def trace(self, event: str, info: Mapping[str, Any]) -> None:
+        """Raise WriteLimitReached if the first byte would be written too late."""
+        if event == FIRST_BYTE_EVENT and self.left_ms <= 0:
+            raise WriteLimitReached
+
+    async def async_trace(self, event: str, info: Mapping[str, Any]) -> None:
+        """`trace` for the asynchronous client."""
+        self.trace(event, info)
+
+    def failed_try(self, error: Exception) -> Unreached | Broken | TooLate:
+        """The event for an error: whether any byte of the try was written, and whose fault it was."""
+        cut_short = self.cuts_connecting and isinstance(error, httpx.ConnectTimeout | httpx.PoolTimeout)
+        if cut_short or isinstance(error, WriteLimitReached):
+            return TooLate()
+        return Unreached() if isinstance(error, NOT_SENT_ERRORS) else Broken()
+
+
 def now_ms() -> float:
     """Monotonic milliseconds: adjustments of the wall clock do not affect deadlines."""
     return time.monotonic() * 1000
@@ -153,11 +212,6 @@
     return Answered(status, {name.lower(): value for name, value in received.items()}, time.time() * 1000)
 
 
-def error_event(error: Exception) -> Unreached | Broken:
-    """The event for a transport error: whether any byte of the try was written."""
-    return Unreached() if isinstance(error, NOT_SENT_ERRORS) else Broken()
-
-
 def try_headers(send: Send, name: str, units: float | None, key: str, token: str) -> dict[str, str]:
     """The headers of a try. Each try has its own request name."""
     return headers(f"{name}.{send.number}", send.time_left_ms, send.retry, units, key, token)
--- a/tamarindfold/client/vectors.py
+++ b/tamarindfold/client/vectors.py
@@ -26,6 +26,7 @@
     Result,
     Rules,
     Send,
+    TooLate,
     Unreached,
     Wait,
     Woke,
@@ -68,6 +69,8 @@
             return {"kind": "broken"}
         case NoToken():
             return {"kind": "no_token"}
+        case TooLate():
+            return {"kind": "too_late"}
         case Woke():
             return {"kind": "woke"}
 
@@ -83,13 +86,15 @@
             return Broken()
         case "no_token":
             return NoToken()
+        case "too_late":
+            return TooLate()
     return Woke()
 
 
 def action_json(action: Action) -> dict[str, Any]:
     """The JSON form of an action; times are rounded to microseconds, as languages differ in rounding."""
     match action:
-        case Send(gateway, number, retry, left, fresh, effect):
+        case Send(gateway, number, retry, left, fresh, effect, write_left):
             return {
                 "kind": "send",
                 "gateway": gateway,
@@ -98,6 +103,7 @@
                 "time_left_ms": round(left, 3),
                 "fresh_token": fresh,
                 "effect": effect,
+                "write_left_ms": round(write_left, 3),
             }
         case Wait(until):
             return {"kind": "wait", "until_ms": round(until, 3)}
@@ -141,8 +147,10 @@
         return Unreached()
     if kind < 0.35:
         return Broken()
-    if kind < 0.4:
+    if kind < 0.38:
         return NoToken()
+    if kind < 0.4:
+        return TooLate()
     status, outcome = random.choice(
         [
             (200, "served"),
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -12,6 +12,7 @@
 from random import Random
 
 import gevent
+import httpx
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
@@ -33,6 +34,7 @@
     Result,
     Rules,
     Send,
+    TooLate,
     Unreached,
     Wait,
     Woke,
@@ -295,6 +297,16 @@
     assert schedule.not_before("g") == 0.0
 
 
+def test_try_carries_the_time_in_which_it_may_be_written_and_a_late_one_is_not_the_gateways_fault() -> None:
+    c = call("keyed", deadline=6000.0, window=1500.0)
+    assert c.start(0).write_left_ms == 6000.0  # nothing has run yet
+    again = c.handle(c.handle(100, Broken()).until_ms, Woke())
+    assert again.write_left_ms == 1500.0 - (6000.0 - again.time_left_ms)
+    result = c.handle(1500, TooLate())
+    assert (result.outcome, result.tries) == (Outcome.UNKNOWN, 2)
+    assert not c.gateways.health[again.gateway].failures
+
+
 # ---- vectors
 
 
@@ -383,6 +395,62 @@
     assert sum(e["cls"] == "switch" for e in r.entries("received")) == 2
 
 
+class LateTransport(httpx.HTTPTransport):
+    """Has a connection for the second request only after `delay_s`."""
+
+    requests, delay_s = 0, 0.5
+
+    def handle_request(self, request: httpx.Request) -> httpx.Response:
+        self.requests += 1
+        time.sleep(self.delay_s * (self.requests == 2))
+        return super().handle_request(request)
+
+
+class LateAsyncTransport(httpx.AsyncHTTPTransport):
+    """`LateTransport` for the asynchronous client."""
+
+    requests, delay_s = 0, LateTransport.delay_s
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        self.requests += 1
+        await asyncio.sleep(self.delay_s * (self.requests == 2))
+        return await super().handle_async_request(request)
+
+
+@pytest.mark.parametrize("kind", ["blocking", "asyncio"])
+def test_keyed_call_is_not_repeated_on_a_connection_that_is_late(kind) -> None:
+    """Guards against a second run: a repeat is decided on within the window and written after it."""
+    received: list[bytes] = []
+
+    def lose_answer(sock, _peer) -> None:
+        if data := sock.recv(65_536):
+            received.append(data)
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), lose_answer)
+    server.start()
+    settings = Settings([url(server.address)], token="good", spread_ms=0.0)
+    book = ask("POST", "/bookings", "keyed", key="k", window_ms=LateTransport.delay_s * 1000)
+
+    def blocking():
+        with Client(settings) as client, httpx.Client(transport=LateTransport()) as client.pooled:
+            return client.call(**book)
+
+    async def loop():
+        async with (
+            AsyncClient(settings) as client,
+            httpx.AsyncClient(transport=LateAsyncTransport()) as client.pooled,
+        ):
+            return await client.call(**book)
+
+    try:
+        reply = in_thread(blocking if kind == "blocking" else lambda: asyncio.run(loop()))
+    finally:
+        server.stop()
+    assert (reply.result.outcome, reply.result.tries) == (Outcome.UNKNOWN, 2)
+    assert len(received) == 1
+
+
 def test_refused_call_waits_and_marks_its_retry(rig, driver) -> None:
     from rig import PLANS
 
