--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -300,11 +300,7 @@
         lambda *a: replace(allocate_limits(*a), first_list_timeout_ms=60_000.0),
     )
     testbed = start_testbed(start=False)
-    testbed.config["known"] = {
-        "generation": 40,
-        "reset": True,
-        "instances": [testbed.instance(0), testbed.instance(1)],
-    }
+    testbed.config["known"] = testbed.initial_list(40)
     testbed.discovery.change(testbed.instance(0, lifecycle="leaving"))
     testbed.discovery.inject(Fault(kind="silent"))
     starting = gevent.spawn(testbed.run)
@@ -327,11 +323,7 @@
     """
     outage_ms, ready_limit_ms = 8_000, 10_000
     testbed = start_testbed(start=False)
-    testbed.config["known"] = {
-        "generation": 41,
-        "reset": True,
-        "instances": [testbed.instance(0), testbed.instance(1)],
-    }
+    testbed.config["known"] = testbed.initial_list(41)
     testbed.discovery.change(testbed.instance(0, lifecycle="leaving"))
     testbed.discovery.inject(Fault(kind="silent"))
     wait, waits_ms = Subscription.wait_for_first_message, []
@@ -357,11 +349,7 @@
         lambda *a: replace(allocate_limits(*a), first_list_timeout_ms=20.0),
     )
     testbed = start_testbed(start=False)
-    testbed.config["known"] = {
-        "generation": 40,
-        "reset": True,
-        "instances": [testbed.instance(0), testbed.instance(1)],
-    }
+    testbed.config["known"] = testbed.initial_list(40)
     testbed.discovery.inject(Fault(kind="silent"))
     if discovery == "away":
         testbed.config["discovery"] = f"127.0.0.1:{free_port()}"
--- a/tests/testbed.py
+++ b/tests/testbed.py
@@ -63,6 +63,11 @@
     def instance(self, i: int, **changes: Any) -> dict[str, Any]:
         return {"instanceId": f"s-{i}", "hostPort": self.backends[i].address, "lifecycle": "active"} | changes
 
+    def initial_list(self, generation: int) -> dict[str, Any]:
+        """The list that an ingress is started with: all backends are active."""
+        instances = [self.instance(i) for i in range(len(self.backends))]
+        return {"generation": generation, "reset": True, "instances": instances}
+
     def run(self) -> Node:
         """Start the ingress; return once it has the list and a connection to the counter."""
         self.node = Node(
