Readers of HTTP are freed when their connection ends, not by the garbage collector

Seen: run at 32 MB and 1,024 descriptors peaked at 256 MB with 600 connections that each sent 60 KB of a body and came again after their time-out, and the memory stayed after they had ended.

Cause: a parser of httptools holds the bound methods of its protocol object, and the reader holds the parser; a Rejected that the reader kept held its traceback, and so the frames with the received bytes. Each ended connection was such a cycle, and the collector runs rarely on purpose (thresholds 20,000, 20, 50). Class: lifetime left to the collector.

Change: parsers hold their receiver weakly, in requests, responses and the registry's watch; the reason of a rejection is kept, not the exception.

--- a/tamarindfold/http1/requests.py
+++ b/tamarindfold/http1/requests.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from tamarindfold.http1.parser_callbacks import ParserCallbacks
+
 Headers = list[tuple[bytes, bytes]]
 
 MAX_TARGET_BYTES = 8192  # RFC 9112 section 3 recommends at least 8000
@@ -23,6 +25,10 @@
         self.status, self.detail = status, detail
 
 
+class _StopParsing(Exception):
+    """Ends the parser's run; the reader knows the reason."""
+
+
 @dataclass(slots=True)
 class Request:
     """One complete request; header names are in lower case."""
@@ -53,12 +59,13 @@
         self.ready: deque[Request] = deque()
         self.in_message = self.in_body = self.closing = False
         self.wants_continue = False  # the client waits for 100 (Continue) before it sends the body
-        self._error: Rejected | None = None
+        # why the parser was stopped; an exception kept here would keep the frames that it passed through
+        self._fault: tuple[int, str] | None = None
         # _size: parsed bytes of the current header or body; _fed: bytes received for the current header
         self._size = self._fed = 0
         self._current = Request()
         self._body: list[bytes] = []
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = httptools.HttpRequestParser(ParserCallbacks(self))
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; Rejected if they are malformed or exceed a limit."""
@@ -71,7 +78,7 @@
         except httptools.HttpParserUpgrade:
             self.closing = True  # no upgrade is offered; what follows is in another protocol
         except httptools.HttpParserError as error:
-            raise self._error or Rejected(400, str(error)) from None
+            raise Rejected(*(self._fault or (400, str(error)))) from None
         if not self.in_body and self.in_message and self._fed > self.header_bytes:
             raise Rejected(431, f"the header is over {self.header_bytes} bytes")
 
@@ -88,11 +95,11 @@
     # ---- callbacks of the parser
 
     def _reject(self, status: int, detail: str) -> None:
-        self._error = Rejected(status, detail)
-        raise self._error
+        self._fault = status, detail
+        raise _StopParsing
 
     def on_message_begin(self) -> None:
-        self.in_message, self._size, self._error = True, 0, None
+        self.in_message, self._size, self._fault = True, 0, None
         self._current, self._body = Request(), []
 
     def on_url(self, part: bytes) -> None:
--- a/tamarindfold/http1/responses.py
+++ b/tamarindfold/http1/responses.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from tamarindfold.http1.parser_callbacks import ParserCallbacks
 from tamarindfold.http1.requests import Headers
 
 _FRAMING = (b"content-length", b"transfer-encoding")
@@ -21,7 +22,7 @@
 
     def __init__(self, body_bytes: int) -> None:
         self.body_bytes = body_bytes
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(ParserCallbacks(self))
         self.begin()
 
     def begin(self, no_body: bool = False) -> None:
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, Struct
 
 from tamarindfold.config.addresses import split_address
+from tamarindfold.http1.parser_callbacks import ParserCallbacks
 from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind
 
 MAX_OBJECT_BYTES = 4 << 20
@@ -134,7 +135,7 @@
     """
 
     def __init__(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(ParserCallbacks(self))
         self._pieces: list[bytes] = []  # of a line that has not ended
         self._object_lines: list[bytes] = []  # of an object that is not complete
         self._size = 0  # bytes since the last complete object
@@ -168,6 +169,12 @@
 
     # ---- callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        pass
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        pass
+
     def on_headers_complete(self) -> None:
         if (status := self._parser.get_status_code()) != 200:
             raise ValueError(f"registry: the watch was answered with status {status}")
