Nothing is sent for a client that left behind input that was not read

Cause: before the first byte of an attempt the client's socket was read up to 1 MiB (run) or ahead_bytes (serve: 16 KiB), and an end behind that was not seen; it may even lie in the client's own send buffer, as the receive window is full. Class: a decision on a state that was not looked at.

Change: where a bounded read did not reach the end of the input, the kernel is asked for the peer's end (POLLRDHUP); where more than 32 KiB is still unread, the end may not have come, and the request is not sent: refused if nothing was sent for it, failed otherwise (front.unchecked_client). Both fronts share the place, right before the first byte of every attempt.

--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -17,7 +17,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import Any, Protocol
 
 import gevent
@@ -27,10 +27,12 @@
 from gevent.server import StreamServer
 
 from tamarindfold.http1.requests import Rejected, Request, RequestReader
+from tamarindfold.ingress import peer
 from tamarindfold.ingress.arrival import receive
 from tamarindfold.ingress.core import Core
-from tamarindfold.ingress.exchange import ClientLeft, Exchange, Failed, Final
+from tamarindfold.ingress.exchange import ClientLeft, Exchange, Failed, Final, Refused
 from tamarindfold.ingress.timers import Timers
+from tamarindfold.interface import Why
 from tamarindfold.links.turns import Turn
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -45,7 +47,12 @@
 PARSE_BYTES = (
     4_096  # parsed at a time, so that few pipelined requests are complete before the first is served
 )
-MAX_DROPPED_BYTES = 1 << 20  # of input behind a request, read in one check
+MAX_READS_PER_TURN = 4  # of READ_BYTES each, of input behind a request
+# Input behind a request of a connection that will be closed is dropped up to this size; the rest is not read.
+MAX_DROPPED_BYTES = 1 << 20
+OVERRUN_RETRY_AFTER_MS = 100.0  # for a request whose client sent too much behind it
+# With this much unread, the end of the client's stream may still be in the client's own buffer.
+HIDING_BYTES = 32_768
 
 
 class Phase(IntEnum):
@@ -56,6 +63,14 @@
     BODY = 2
 
 
+class InputAhead(Enum):
+    """What was found behind a request whose response is pending."""
+
+    ALL_READ = "all read"
+    MORE = "more"
+    ENDED = "ended"
+
+
 class ConnectionLimits(Protocol):
     """Safety limits of a front, in bytes, counts or milliseconds."""
 
@@ -127,6 +142,7 @@
                 "ahead_full",
                 "too_late",
                 "linger_full",
+                "unchecked_client",
             ),
             0,
         )
@@ -437,7 +453,7 @@
     def _watch_client(self, exchange: Exchange) -> None:
         """Withdraw this request if the client disconnects from now on."""
         self.exchange, self.pipelined = exchange, False
-        exchange.check_client = self.check_client
+        exchange.check_client = self.check_before_send
         if self.watcher is None:
             self.watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
         self.watcher.start(self.check_client)
@@ -447,32 +463,62 @@
         self.exchange = exchange.check_client = None
 
     def check_client(self) -> None:
-        """Read what the client's socket holds; an end of stream or a reset means that the client has left.
+        """Withdraw the request if the client has left. Called by the event loop on new input."""
+        if self._read_ahead(MAX_READS_PER_TURN) is InputAhead.ENDED:
+            self._withdraw(ClientLeft())
+
+    def check_before_send(self) -> None:
+        """The same right before the first byte of an attempt; also withdraws a request that can't be checked.
+
+        With a lot of unread input the end of the client's stream may not have come, however long ago the
+        client closed its connection.
+        """
+        found = self._read_ahead(MAX_DROPPED_BYTES // READ_BYTES)
+        if found is InputAhead.ENDED:
+            self._withdraw(ClientLeft())
+        elif found is InputAhead.MORE and self._may_hide_an_end() and self.exchange is not None:
+            self.front.counts["unchecked_client"] += 1
+            unsent = not self.exchange.written
+            self._withdraw(Refused(OVERRUN_RETRY_AFTER_MS, Why.PRESSURE) if unsent else Failed(False))
+
+    def _withdraw(self, final: Final) -> None:
+        self.watcher.stop()
+        self.client_gone = isinstance(final, ClientLeft)
+        if self.exchange is not None:
+            self.front.core.withdraw(self.exchange, final)
+
+    def _read_ahead(self, reads: int) -> InputAhead:
+        """Read what came behind the request: an end of the stream or a reset means that the client has left.
 
-        Called by the event loop when the socket is readable, and before the first byte of each attempt.
-        Pipelined bytes are kept for the next request if the connection stays open. Above `ahead_bytes` the
-        rest stays in the socket buffer, and a disconnect behind it is noticed only once it is read.
+        The bytes are kept for the next request, up to `ahead_bytes`, or dropped if the connection will be
+        closed. Once there is too much, the event loop does not call again.
         """
         try:
-            for _ in range(MAX_DROPPED_BYTES // READ_BYTES):
-                if self.pipelined_bytes > self.limits.ahead_bytes:
+            for _ in range(reads):
+                if self.pipelined_bytes > (self.limits.ahead_bytes if self.keep_alive else MAX_DROPPED_BYTES):
                     self.front.counts["ahead_full"] += 1
                     self.watcher.stop()
-                    return
+                    break
                 data, last_byte_ms = receive(self.sock._sock, READ_BYTES, self.front.clock)
                 if not data:
-                    break
-                self.front.counts["ahead"] += not self.pipelined
-                self.pipelined = True
-                if self.keep_alive:
-                    self._keep(data, last_byte_ms)
-            else:
-                return  # a long burst of input: the event loop calls again for the rest
+                    return InputAhead.ENDED
+                self._add_ahead(data, last_byte_ms)
         except BlockingIOError:
-            return  # nothing more to read: the event loop calls again on new input
+            return InputAhead.ALL_READ  # the event loop calls again on new input
         except OSError:
-            pass
-        self.client_gone = True
-        self.watcher.stop()
-        if self.exchange is not None:
-            self.front.core.withdraw(self.exchange, ClientLeft())
+            return InputAhead.ENDED
+        return InputAhead.ENDED if peer.has_closed(self.sock) else InputAhead.MORE
+
+    def _add_ahead(self, data: bytes, last_byte_ms: float) -> None:
+        self.front.counts["ahead"] += not self.pipelined
+        self.pipelined = True
+        if self.keep_alive:
+            self._keep(data, last_byte_ms)
+        else:
+            self.pipelined_bytes += len(data)
+
+    def _may_hide_an_end(self) -> bool:
+        try:
+            return len(self.sock._sock.recv(HIDING_BYTES, socket.MSG_PEEK)) == HIDING_BYTES
+        except OSError:
+            return False
