An id that may have run is rejected until its deadline, also when its client has left

Cause: run forgot an id with the end of its request, so also when the client left with an attempt written; the same id on another connection was admitted while the first could still run. Class: state dropped at the wrong end (the client's, not the attempt's).

tests: both classes, by close and by reset, served and refused ids, bound and expiry.

--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -10,10 +10,11 @@
 from tamarindfold.http1.requests import Rejected, Request
 from tamarindfold.ingress.connection import BaseFront, ClientConnection, Phase
 from tamarindfold.ingress.core import Core
-from tamarindfold.ingress.exchange import Exchange, Refused
+from tamarindfold.ingress.exchange import Exchange, Refused, Served
 from tamarindfold.ingress.timers import Timers
-from tamarindfold.interface import Why
+from tamarindfold.interface import Effect, Why
 from tamarindfold.node.adapters import PlatformResponses
+from tamarindfold.node.call_ids import CallIds
 from tamarindfold.node.limits import Limits
 from tamarindfold.platform import responses, wire_names
 from tamarindfold.platform.requests import CallParser
@@ -50,7 +51,7 @@
         self.connection_type = PlatformConnection
         # connections without a valid request so far, oldest first
         self.unproven: dict[ClientConnection, None] = {}
-        self.open_call_ids: set[bytes] = set()
+        self.call_ids = CallIds()
         self.counts |= dict.fromkeys(("evicted", "no_room", "not_kept"), 0)
 
     def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -129,8 +130,8 @@
         if request.target == wire_names.READY and request.method == "GET":
             return responses.ready(front.not_ready_reason(), self.keep_alive)
         call = front.parser.parse(request)
-        if call.call_id in front.open_call_ids:
-            raise Rejected(409, "x-call-id: of a request that is open")
+        if front.call_ids.is_taken(call.call_id, front.clock()):
+            raise Rejected(409, "x-call-id: of a request that is open or may still run")
         front.unproven.pop(self, None)
         if len(front.core.open_exchanges) >= limits.open_requests:
             front.counts["full"] += 1
@@ -158,10 +159,18 @@
         )
 
     def _process(self, exchange: Exchange) -> bytes:
-        open_call_ids = self.front.open_call_ids
-        open_call_ids.add(exchange.name)
+        front = self.front
+        front.call_ids.add(exchange.name)
         try:
             return super()._process(exchange)
         finally:
-            open_call_ids.discard(exchange.name)
-            self.front.counts["not_kept"] += self.front.proven_idle >= self.limits.max_idle_connections
+            keep_until_ms = 0.0 if self._may_come_again(exchange) else exchange.deadline_ms
+            front.call_ids.end(exchange.name, front.clock(), keep_until_ms)
+            front.counts["not_kept"] += front.proven_idle >= self.limits.max_idle_connections
+
+    def _may_come_again(self, exchange: Exchange) -> bool:
+        """Whether a request of this id could do no harm again: not sent, or safe and served."""
+        if not exchange.written:
+            return True
+        effect = self.front.core.gateway.settings.classes[exchange.cls].effect
+        return effect is Effect.SAFE and isinstance(exchange.final, Served)
--- a/tamarindfold/node/server.py
+++ b/tamarindfold/node/server.py
@@ -206,6 +206,8 @@
                 "held": front.in_flight,
                 "open": len(self.core.open_exchanges),
                 "withdrawn": len(self.core.withdrawn),
+                "ended_ids": len(front.call_ids.ended),
+                "ended_ids_forgotten": front.call_ids.forgotten,
                 "backends": len(self.core.fleet),
                 "to_backends": self.pool.total_open,
                 "answers_peak": self.upstream.peak_held_bytes,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -106,7 +106,7 @@
     assert (
         not testbed.node.core.open_exchanges
         and not testbed.node.core.withdrawn
-        and not testbed.node.front.open_call_ids
+        and not testbed.node.front.call_ids.open
     )
 
 
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -5,11 +5,12 @@
 import gevent
 import pytest
 from gevent import socket
-from rig import request, wait_for
+from rig import read_answer, request, wait_for
 from test_crossings import call_at
 from testbed import PlatformTestbed
 
 from tamarindfold.ingress import peer
+from tamarindfold.node.call_ids import CallIds
 from tamarindfold.standins.base import reset
 
 MIB = 1 << 20
@@ -98,3 +99,58 @@
     wait_for(lambda: peer.has_closed(served))
     for sock in (listener, client, served):
         sock.close()
+
+
+# ---- ids
+
+
+@pytest.mark.parametrize("cls", ["quote", "switch"])
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_id_that_may_run_for_a_client_that_left_is_rejected_until_its_deadline(
+    start_testbed, cls, how
+) -> None:
+    testbed: PlatformTestbed = start_testbed(1, work_ms=300.0)
+    data = testbed.request_bytes(cls=cls)
+    sock = testbed.connect()
+    sock.sendall(data)
+    wait_for(testbed.received)
+    send_and_leave(sock, b"", how)
+    wait_for(lambda: testbed.node.core.counts["left"] == 1)
+    assert ask_again(testbed, data) == 409 and len(testbed.received()) == 1
+    testbed.node.steady._base_ms += 3000  # its deadline is over
+    assert ask_again(testbed, data) == 200
+
+
+def test_id_of_an_unsafe_request_that_was_served_is_rejected_until_its_deadline(start_testbed) -> None:
+    testbed: PlatformTestbed = start_testbed(1)
+    data = testbed.request_bytes(cls="switch")
+    assert [ask_again(testbed, data) for _ in range(2)] == [200, 409]
+    assert len(testbed.received()) == 1
+
+
+def test_id_of_a_request_that_was_refused_may_come_again(start_testbed) -> None:
+    testbed: PlatformTestbed = start_testbed(1)
+    for _ in range(10):
+        data = testbed.request_bytes(X_Contract="small")
+        if ask_again(testbed, data) == 429:
+            break
+    assert ask_again(testbed, data) in (200, 429)
+
+
+def ask_again(testbed: PlatformTestbed, data: bytes) -> int:
+    sock = testbed.connect()
+    sock.sendall(data)
+    return read_answer(sock).status
+
+
+def test_ended_ids_are_bounded_and_expire() -> None:
+    ids = CallIds(max_ended=2)
+    for name in (b"a", b"b", b"c"):
+        ids.add(name)
+        assert ids.is_taken(name, 0.0)
+        ids.end(name, 0.0, 100.0)
+    assert [ids.is_taken(name, 99.0) for name in (b"a", b"b", b"c")] == [False, True, True]
+    assert ids.forgotten == 1 and not ids.is_taken(b"c", 100.0)
+    ids.add(b"d")
+    ids.end(b"d", 150.0, 0.0)
+    assert not ids.ended and not ids.open and not ids.is_taken(b"d", 150.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -156,7 +156,7 @@
     wait_for(lambda: testbed.received())
     sock.close()
     wait_for(lambda: testbed.node.upstream.counts["cancelled"] == 1 and not testbed.node.pool.total_open)
-    assert testbed.node.core.counts["left"] == 1 and not testbed.node.front.open_call_ids
+    assert testbed.node.core.counts["left"] == 1 and not testbed.node.front.call_ids.open
 
 
 def test_silent_backend_times_out_at_the_clients_deadline(start_testbed) -> None:
