What comes in small pieces is joined as it comes, and its memory is known

Cause: bodies, answers, lists and lines were kept as one object for each piece. A body of 60 kB in chunks of one byte, a response or a list in small pieces took up to 40 times its size, and a response of short header fields several MB, while limits counted payload bytes. An idle connection to a backend kept its last response. Class: memory counted as payload.

Change: ds/byte_buffer.ByteBuffer joins pieces; RequestReader.kept_bytes is the memory that a request takes (fields, bytes, message); 256 header fields at most in a response; lines of the feed and of the watch are found piece by piece, not by joining all again for each.

--- a/tamarindfold/http1/requests.py
+++ b/tamarindfold/http1/requests.py
@@ -7,10 +7,15 @@
 
 import httptools
 
+from tamarindfold.ds.byte_buffer import ByteBuffer
 from tamarindfold.http1.parser_callbacks import ParserCallbacks
 
 Headers = list[tuple[bytes, bytes]]
 
+# what CPython needs beside the bytes themselves, for accounts of memory
+MESSAGE_BYTES = 600  # a request with its list of headers
+FIELD_BYTES = 180  # a header field: a pair, two byte strings and a place in the list
+
 MAX_TARGET_BYTES = 8192  # RFC 9112 section 3 recommends at least 8000
 
 
@@ -63,12 +68,15 @@
         self._fault: tuple[int, str] | None = None
         # _size: parsed bytes of the current header or body; _fed: bytes received for the current header
         self._size = self._fed = 0
+        self._complete_bytes = 0  # memory of the complete requests that are not yet answered
         self._current = Request()
-        self._body: list[bytes] = []
+        self._body = ByteBuffer()
         self._parser = httptools.HttpRequestParser(ParserCallbacks(self))
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; Rejected if they are malformed or exceed a limit."""
+        if not self.ready:
+            self._complete_bytes = 0
         if self.closing:
             return  # the last response announces that the connection closes
         if not self.in_body:
@@ -82,6 +90,21 @@
         if not self.in_body and self._fed > self.header_bytes:  # of a header, or of empty lines before one
             raise Rejected(431, f"the header is over {self.header_bytes} bytes")
 
+    @property
+    def kept_bytes(self) -> int:
+        """The memory that the reader takes for requests, complete or not."""
+        return self._complete_bytes + self._message_bytes()
+
+    def _message_bytes(self) -> int:
+        return MESSAGE_BYTES + FIELD_BYTES * len(self._current.headers) + self._fed + len(self._body)
+
+    def discard(self) -> None:
+        """Free all that is kept; nothing can be fed any more."""
+        self.closing, self._current = True, Request()
+        self._fed = self._size = self._complete_bytes = 0
+        self._body.take()
+        self.ready.clear()
+
     def head(self) -> Request | None:
         """The request whose header is complete and whose body is not, or None.
 
@@ -100,7 +123,7 @@
 
     def on_message_begin(self) -> None:
         self.in_message, self._size, self._fault = True, 0, None
-        self._current, self._body = Request(), []
+        self._current = Request()
 
     def on_url(self, part: bytes) -> None:
         self._current.target += part
@@ -143,21 +166,18 @@
             self._reject(413, f"the body is over {self.body_bytes} bytes")
 
     def on_body(self, part: bytes) -> None:
-        self._body.append(part)
+        self._body.add(part)
         self.wants_continue = False
-        if len(self._body) == 1 and len(part) <= self.body_bytes:
-            self._size = len(part)
-            return
-        self._size = sum(map(len, self._body)) if len(self._body) < 3 else self._size + len(part)
-        if self._size > self.body_bytes:
+        if len(self._body) > self.body_bytes:
             self._reject(413, f"the body is over {self.body_bytes} bytes")
 
     def on_message_complete(self) -> None:
         current = self._current
-        current.body = b"".join(self._body)
+        self._complete_bytes += self._message_bytes()
+        current.body = self._body.take()
         current.keep_alive = bool(self._parser.should_keep_alive())
         self.in_message = self.in_body = self.wants_continue = False
-        self._fed, self._body = 0, []
+        self._fed = 0
         self.ready.append(current)
         if not current.keep_alive:
             self.closing = True
--- a/tamarindfold/http1/responses.py
+++ b/tamarindfold/http1/responses.py
@@ -6,11 +6,13 @@
 
 import httptools
 
+from tamarindfold.ds.byte_buffer import ByteBuffer
 from tamarindfold.http1.parser_callbacks import ParserCallbacks
 from tamarindfold.http1.requests import Headers
 
 _FRAMING = (b"content-length", b"transfer-encoding")
-MAX_HEAD_BYTES = 32_768  # all headers of a response; parsed headers take many times their size in memory
+MAX_HEAD_BYTES = 32_768  # all headers of a response
+MAX_FIELDS = 256  # header fields of a response; a short one takes many times its size in memory
 
 
 class BadResponse(ValueError):
@@ -33,12 +35,17 @@
         self.complete = self.reusable = False
         self.excess = False  # bytes after the response: the connection must not be reused
         self._no_body, self._framed, self._size, self._fed = no_body, False, 0, 0
-        self._parts: list[bytes] = []
+        self._body = ByteBuffer()
+
+    def discard(self) -> None:
+        """Free the response that was read; the connection may be kept."""
+        self.headers = []
+        self._body.take()
 
     @property
     def body(self) -> bytes:
         """The body as far as it has been received; all of it once the response is complete."""
-        return b"".join(self._parts)
+        return self._body.peek()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; BadResponse if they are malformed or exceed a limit."""
@@ -87,6 +94,8 @@
             self._size += len(name) + len(value)
             if self._size > min(self.body_bytes, MAX_HEAD_BYTES):
                 raise BadResponse(f"headers over {min(self.body_bytes, MAX_HEAD_BYTES)} bytes")
+            if len(self.headers) >= MAX_FIELDS:
+                raise BadResponse(f"over {MAX_FIELDS} header fields")
             name = name.lower()
             self.headers.append((name, value))
             if name in _FRAMING:
@@ -105,7 +114,7 @@
         if self.complete:
             self.excess = self.excess or not self._no_body
             return
-        self._parts.append(part)
+        self._body.add(part)
         self._size += len(part)
         if self._size > self.body_bytes:
             raise BadResponse(f"response over {self.body_bytes} bytes")
--- a/tamarindfold/membership/driver.py
+++ b/tamarindfold/membership/driver.py
@@ -10,6 +10,7 @@
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.ds.durable import replace_file
 from tamarindfold.interface import FleetUpdate, ListKind
+from tamarindfold.ds.byte_buffer import ByteBuffer
 from tamarindfold.links.link import Link
 from tamarindfold.links.subscription import Subscription
 from tamarindfold.links.turns import Turn
@@ -61,16 +62,18 @@
 
     def _read(self, sock: socket.socket) -> None:
         sock.settimeout(None)
-        rest, turn = b"", Turn()
+        line_start, turn = ByteBuffer(), Turn()
         while data := sock.recv(65536):
-            *lines, rest = (rest + data).split(b"\n")
-            for line in lines:
-                self.notify(self.servers.apply(line))
-            if lines:
+            *ends, rest = data.split(b"\n")
+            for end in ends:
+                line_start.add(end)
+                self.notify(self.servers.apply(line_start.take()))
+            line_start.add(rest)
+            if ends:
                 self.subscription.message_received()
                 self._save()
             turn.spend(len(data))
-            if len(rest) > MAX_LINE_BYTES:
+            if len(line_start) > MAX_LINE_BYTES:
                 raise ValueError(f"feed: a line exceeds {MAX_LINE_BYTES} bytes")
 
     def _save(self) -> None:
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, Struct
 
 from tamarindfold.config.addresses import split_address
+from tamarindfold.ds.byte_buffer import ByteBuffer
 from tamarindfold.http1.parser_callbacks import ParserCallbacks
 from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind
 
@@ -136,8 +137,8 @@
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(ParserCallbacks(self))
-        self._pieces: list[bytes] = []  # of a line that has not ended
-        self._object_lines: list[bytes] = []  # of an object that is not complete
+        self._line_start = ByteBuffer()  # of a line that has not ended
+        self._object = ByteBuffer()  # the lines of an object that is not complete
         self._size = 0  # bytes since the last complete object
         self._depth = 0  # open brackets
         self.heartbeats = 0
@@ -157,14 +158,16 @@
 
     def _line(self, line: bytes) -> None:
         if not line.strip():
-            self.heartbeats += not self._object_lines
+            self.heartbeats += not len(self._object)
             return
         without_strings = _STRING.sub(b"", line)
         self._depth += sum(map(without_strings.count, b"{[")) - sum(map(without_strings.count, b"}]"))
-        self._object_lines.append(line)
+        if len(self._object):
+            self._object.add(b"\n")
+        self._object.add(line)
         if self._depth <= 0:
-            self._objects.append(b"\n".join(self._object_lines))
-            self._object_lines, self._size, self._depth = [], 0, 0
+            self._objects.append(self._object.take())
+            self._size = self._depth = 0
             self.heartbeats += 1
 
     # ---- callbacks of the parser
@@ -181,16 +184,13 @@
 
     def on_body(self, part: bytes) -> None:
         self._size += len(part)
-        if b"\n" not in part:  # the pieces of a line are joined once, when it ends
-            self._pieces.append(part)
-            return
-        *lines, rest = b"".join((*self._pieces, part)).split(b"\n")
-        self._pieces = [rest]
-        for line in lines:
-            self._line(line)
+        *ends, rest = part.split(b"\n")
+        for end in ends:
+            self._line_start.add(end)
+            self._line(self._line_start.take())
+        self._line_start.add(rest)
 
     def on_message_complete(self) -> None:
-        if (rest := b"".join(self._pieces)).strip():
+        if (rest := self._line_start.take()).strip():
             self._line(rest)
-        self._pieces = []
         self.ended = True
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def garbage() -> Iterator[Any]:
-    """A function that returns what of this project was collected since the last call, by type."""
+    """A function that returns what of this project was made and became garbage since the last call, by type."""
     gc.collect()
     gc.disable()
     gc.set_debug(gc.DEBUG_SAVEALL)
@@ -31,11 +31,13 @@
         gc.collect()
         found = Counter(type(thing).__name__ for thing in gc.garbage)
         gc.garbage.clear()
+        gc.freeze()  # what earlier tests left behind may become garbage at any time
         return Counter({name: n for name, n in found.items() if name.endswith(PARTS)})
 
     yield collected
     gc.set_debug(0)
     gc.garbage.clear()
+    gc.unfreeze()
     gc.enable()
 
 
