Names that clients make up take a bounded part of the memory

Cause: the module remembered every customer for 60 s and every refused client's appointment up to its time, however many came; values of x-metering and customers' names were cached by number and not by size (256 values of up to 16 kB each). Class: state that a stranger can create, without a bound.

Change: Gateway.max_customers; beyond it the oldest customer of a single request is forgotten, then the longest idle one (its bucket starts full when it comes again, its ceiling empty), counted in customers_forgotten. 256 appointments for each customer. Long values are parsed each time. A customer takes 0.5 to 1.5 kB (slots, a list for its appointments).

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -54,6 +54,7 @@
 SHARED_ROOM_FRACTION = 0.9  # of the burst: a shared bucket above this level has room for every gateway
 SHARED_OVERUSE_FRACTION = 0.25  # of the burst: below this level of the shared bucket the quota is over-used
 RETRY_RESERVE_FRACTION = 0.1  # of the local bucket: kept for retries that the client has marked
+MAX_APPOINTMENTS = 256  # of a customer; clients refused beyond them hold no place in the queue
 APPOINTMENT_GRACE_MS = 2000.0  # a client this late is no longer expected; its place in the queue is freed
 
 # ---- the shared counter
@@ -123,6 +124,30 @@
     width: the number of gateways that the quota is divided among.
     """
 
+    __slots__ = (
+        "admitted_unasked",
+        "answers",
+        "appointments",
+        "cap_tokens",
+        "counted_at",
+        "end_of_queue_time",
+        "even_share",
+        "number",
+        "plan",
+        "ran_dry",
+        "refilled_at",
+        "refused_unasked",
+        "share",
+        "share_adjusted_at",
+        "shared_tokens",
+        "tokens",
+        "unit_squares",
+        "unit_sum",
+        "unreported_units",
+        "unused_fraction",
+        "waived_units",
+    )
+
     def __init__(
         self, plan: Plan, width: int, now: float, number: int = 0, unreported_units: float = 0.0
     ) -> None:
@@ -135,7 +160,7 @@
         self.cap_tokens = 0.0
         self.refilled_at = now
         self.end_of_queue_time = now
-        self.appointments: deque[float] = deque()  # retry times announced to refused clients
+        self.appointments: list[float] = []  # retry times announced to refused clients
         # number, sum and sum of squares of the units of answered requests
         self.answers = 0
         self.unit_sum = 0.0
@@ -196,7 +221,7 @@
         grace_ms: how long an appointment is kept after its retry time.
         """
         while self.appointments and self.appointments[0] <= now - grace_ms:
-            self.appointments.popleft()
+            self.appointments.pop(0)
         mean = self.unit_sum / self.answers if self.answers else units
         variance = self.unit_squares / self.answers - mean * mean if self.answers >= 2 else 0.0
         fill = self.plan.rate * self.share if self.plan.rate else mean
@@ -209,7 +234,8 @@
             self.end_of_queue_time = max(self.end_of_queue_time, retry_at)
         else:
             retry_at = self.end_of_queue_time = self.end_of_queue_time + queue_interval
-        self.appointments.append(retry_at)
+        if len(self.appointments) < MAX_APPOINTMENTS:
+            self.appointments.append(retry_at)
         return retry_at - now
 
     def adjust_share(self, now: float, overused: bool) -> None:
@@ -321,6 +347,9 @@
         self.uses_counter = settings.counter and not settings.meter_ms
         self.backends: dict[int, Backend] = {}
         self.customers: dict[int, Customer] = {}  # in the order of their last use, the longest idle first
+        self.newcomers: dict[int, None] = {}  # those of them that have sent one request, the oldest first
+        self.max_customers = inf
+        self.customers_forgotten = 0  # for want of room
         # unanswered calls to the counter by name, oldest first: customer, use, correction, held request
         self.pending_counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}
         self.calls: dict[int, Call] = {}
@@ -437,7 +466,7 @@
             customer = Customer(self.settings.plans[saved.plan], width, min(now, saved.at_ms), saved.customer)
             customer.cap_tokens = saved.cap_tokens
             customer.refill(now)
-            customer.appointments = deque(saved.appointments)
+            customer.appointments = list(saved.appointments[:MAX_APPOINTMENTS])
             customer.end_of_queue_time = saved.end_of_queue_ms
             customer.answers = saved.answers
             customer.unit_sum = saved.unit_sum
@@ -450,11 +479,14 @@
     def customer_for(self, now: float, event: RequestArrived | ExternalUse) -> Customer:
         """The customer of an event, refilled and on its current plan; created where it is unknown.
 
-        Each call also drops the customer that has been idle longest, if its last counter name has expired.
+        Each call also drops the customer that has been idle longest, if its last counter name has expired,
+        and forgets one while there are too many.
         """
         known = self.customers.pop(event.customer, None)
         plan = self.settings.plans[event.plan]
+        self.newcomers.pop(event.customer, None)
         if known is None:
+            self.newcomers[event.customer] = None
             width = max(1, min(event.width, self.settings.gateways))
             # a random start makes reports in whole batches right on average, even where use is rare
             unreported = -self.random.random() * REPORT_BATCH_FRACTION * plan.burst
@@ -471,9 +503,18 @@
             known.change_plan(plan)
         oldest_number, oldest = next(iter(self.customers.items()))
         if now - oldest.refilled_at > COUNTER_NAME_TTL_MS:
-            del self.customers[oldest_number]
+            self.drop_customer(oldest_number)
+        elif len(self.customers) > self.max_customers:
+            self.customers_forgotten += 1
+            newcomer = next(iter(self.newcomers), event.customer)
+            self.drop_customer(oldest_number if newcomer == event.customer else newcomer)
         return known
 
+    def drop_customer(self, number: int) -> None:
+        """Forget a customer: its bucket starts full when it comes again, its ceiling empty."""
+        del self.customers[number]
+        self.newcomers.pop(number, None)
+
     def on_request_arrived(self, now: float, event: RequestArrived) -> None:
         """Decide on a client's try.
 
@@ -487,7 +528,7 @@
         call = Call(event, self.settings.classes[event.cls], customer, now, work_ms)
         self.calls[event.request] = call
         if event.retry and marks_retry and customer.appointments:
-            customer.appointments.popleft()
+            customer.appointments.pop(0)
         self.retry_tokens = min(MAX_RETRY_TOKENS, self.retry_tokens + RETRY_TOKENS_PER_TRY)
         self.mean_unit_ms += (self.unit_ms[event.cls] - self.mean_unit_ms) * (1 - EWMA_DECAY) / 2
         below_ceiling = not plan.ceiling_rate or customer.cap_tokens >= event.units
--- a/tamarindfold/ingress/admission.py
+++ b/tamarindfold/ingress/admission.py
@@ -22,6 +22,7 @@
     (names.REQUEST, names.UNITS, names.RETRY, names.TIME_LEFT, names.IDEMPOTENCY_KEY, b"authorization")
 )
 _NOT_FORWARDED = HOP_BY_HOP | {b"host", b"authorization", b"expect"}
+CACHED_NAME_CHARACTERS = 128  # the numbers of longer names are computed each time
 CUSTOMER_BITS = 33  # the decision module's counter names have room for this many
 
 
@@ -48,13 +49,19 @@
     headers: Headers  # to be forwarded to a backend
 
 
-@lru_cache(maxsize=65_536)
 def customer_number(text: str) -> int:
     """Number of a customer, the same at every gateway. Two names collide with a probability of 2^-33."""
+    return _known_customer_number(text) if len(text) <= CACHED_NAME_CHARACTERS else _customer_number(text)
+
+
+def _customer_number(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big") >> (64 - CUSTOMER_BITS)
 
 
+_known_customer_number = lru_cache(maxsize=16_384)(_customer_number)
+
+
 def forwardable_headers(headers: Headers) -> Headers:
     """The headers to forward: all but hop-by-hop headers and the gateway's own."""
     kept = [
--- a/tamarindfold/node/limits.py
+++ b/tamarindfold/node/limits.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 
 RESERVED_DESCRIPTORS = 40  # for the listener, discovery, counter, event loop and connections being closed
-ANSWER_MEMORY_SHARE = 0.15  # of all memory; as much again may be buffered for clients that read slowly
+# of the memory that the program does not need at rest; what is left is for lists and fragmentation
+CONNECTION_MEMORY_SHARE = 0.6
+CUSTOMER_MEMORY_SHARE = 0.2
+ANSWER_SHARE = 0.5  # of the memory for connections: all responses that are being read
+LEAST_SPARE_BYTES = 2_000_000  # if the program itself leaves less than this
+CUSTOMER_BYTES = 1_500  # of one customer in the decision module, with some refused clients
 IDLE_CLIENTS_SHARE = 1 / 6  # of all descriptors; well-behaved clients hold at most a third of them
 CLIENT_SHARE = 0.55  # of the descriptors that are not reserved
 READY_TARGET_MS = 10_000  # the platform's limit for nine in ten restarted ingresses, from the process's start
@@ -19,7 +24,9 @@
     connections: int  # from clients
     backend_connections: int
     open_requests: int
-    total_answer_bytes: int  # of all responses being read
+    total_answer_bytes: int  # memory of all responses being read
+    connection_bytes: int  # memory of all connections, with what is kept and read on them
+    customers: int  # that the decision module remembers
     header_bytes: int = 16_384
     header_count: int = 64
     header_timeout_ms: float = 2_000
@@ -47,14 +54,21 @@
     first_list_timeout_ms: float = READY_TARGET_MS - STARTUP_RESERVE_MS
 
 
-def allocate_limits(sockets: int, memory_mb: float, open_cap: int) -> Limits:
-    """Divide the descriptors between clients and backends, and allot a share of the memory to responses."""
+def allocate_limits(sockets: int, memory_mb: float, open_cap: int, rest_bytes: int = 0) -> Limits:
+    """Divide the descriptors between clients and backends, and the spare memory between what can grow.
+
+    rest_bytes: what the program needs at rest.
+    """
     available = sockets - RESERVED_DESCRIPTORS
     clients = int(available * CLIENT_SHARE)
+    spare_bytes = max(LEAST_SPARE_BYTES, memory_mb * 1e6 - rest_bytes)
+    connection_bytes = int(spare_bytes * CONNECTION_MEMORY_SHARE)
     return Limits(
         clients,
         available - clients,
         min(clients, open_cap),
-        int(memory_mb * 1e6 * ANSWER_MEMORY_SHARE),
+        int(connection_bytes * ANSWER_SHARE),
+        connection_bytes,
+        int(spare_bytes * CUSTOMER_MEMORY_SHARE / CUSTOMER_BYTES),
         max_idle_connections=int(sockets * IDLE_CLIENTS_SHARE),
     )
--- a/tamarindfold/platform/requests.py
+++ b/tamarindfold/platform/requests.py
@@ -21,6 +21,7 @@
 _INTEGER = re.compile(rb"[0-9]{1,5}")
 _TARGET = re.compile(rb"/[\x21\x22\x24-\x3e\x40-\x7e]*\?([\x21\x22\x24-\x7e]*)")
 METERING_CACHE_SIZE = 256  # distinct x-metering values kept in parsed form
+METERING_CACHED_BYTES = 64  # longer values are parsed each time
 CUSTOMER_LIMIT = 1 << 33  # the decision module's counter names have room for 33 bits of the customer
 
 _KEY_PREFIX = wire_names.KEY + b"="
@@ -67,7 +68,7 @@
         self.classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
         self.plans = {plan.name.encode(): i for i, plan in enumerate(settings.plans)}
         # clients use few distinct values, so each is parsed once
-        self.parse_metering = lru_cache(maxsize=METERING_CACHE_SIZE)(self._parse_metering)
+        self.known_metering = lru_cache(maxsize=METERING_CACHE_SIZE)(self._parse_metering)
         self.methods = ["GET" if cls.effect is Effect.SAFE else "POST" for cls in settings.classes]
 
     def parse(self, request: Request) -> CallParameters:
@@ -111,8 +112,13 @@
             again == b"1",
         )
 
-    def _parse_metering(self, value: bytes) -> tuple[float, int, int]:
+    def parse_metering(self, value: bytes) -> tuple[float, int, int]:
         """Units, width and first gateway; Rejected if one is missing, given twice or out of range."""
+        if len(value) > METERING_CACHED_BYTES:
+            return self._parse_metering(value)
+        return self.known_metering(value)
+
+    def _parse_metering(self, value: bytes) -> tuple[float, int, int]:
         found: dict[bytes, bytes] = {}
         for part in value.split(b","):
             name, _, figure = part.strip(b" \t").partition(b"=")
