One budget for the memory of all connections, and one queue for their input

Cause: limits were for each connection, and their sum (541 x 80 kB) was never compared with the memory that there is; beside it 64 kB of the last read stayed referenced while a greenlet waited. A turn for each of 541 readers is a second. Class: bounds for each, none for all.

Change: ds/memory.MemoryBudget holds what every connection, its request, its unread answer and all answers of backends take; capacity is 0.6 of the limit less what the program needs at rest (customers 0.2). Beyond it a front ends strangers' unfinished requests, the largest first, then idle connections, then known clients' unfinished requests (503, nothing was sent), then clients that don't read; never a request that was read. A place is made likewise where unread input kept all others from being ended. The log has memory.*, front.evicted_memory, no_memory.

--- a/tamarindfold/config/model.py
+++ b/tamarindfold/config/model.py
@@ -56,6 +56,10 @@
     write_timeout_ms: PositiveFloat = 5_000
     answer_bytes: PositiveInt = 1_048_576
     answer_margin_ms: NonNegativeMs = 30  # the final response is due this long before the client's deadline
+    # memory of all client connections, with what is kept and answered on them; beyond it connections are
+    # ended, those without a request first
+    client_memory_bytes: PositiveInt = 268_435_456
+    customers: PositiveInt = 1_000_000  # that the decision module remembers
     # upper bound on the time that a stopping gateway waits for requests in flight
     stop_ms: PositiveFloat = 15_000
 
--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -26,6 +26,7 @@
 from gevent.pool import Pool as GreenletPool
 from gevent.server import StreamServer
 
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.http1.requests import Rejected, Request, RequestReader
 from tamarindfold.ingress import peer
 from tamarindfold.ingress.arrival import receive
@@ -33,7 +34,7 @@
 from tamarindfold.ingress.exchange import ClientLeft, Exchange, Failed, Final, Refused
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.interface import Why
-from tamarindfold.links.turns import Turn
+from tamarindfold.links.turns import UNTRUSTED_TURN_BYTES, Turn, TurnQueue
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # After a response that ends the connection early, input is read for this long: unread input would reset the
@@ -43,18 +44,23 @@
 # If the decision module is late, the connection responds on its own once only the answer margin divided by
 # this is left before the deadline.
 OVERDUE_MARGIN_DIVISOR = 3.0
-READ_BYTES = 16_384
-PARSE_BYTES = (
-    4_096  # parsed at a time, so that few pipelined requests are complete before the first is served
-)
-MAX_READS_PER_TURN = 4  # of READ_BYTES each, of input behind a request
+# With a small read few pipelined requests are complete before the first is served.
+READ_BYTES = UNTRUSTED_TURN_BYTES
+DROP_BYTES = 16_384  # read at a time of input that is not parsed
+MAX_READS_PER_TURN = 4  # of that size, of input behind a request
 # Input behind a request of a connection that will be closed is dropped up to this size; the rest is not read.
 MAX_DROPPED_BYTES = 1 << 20
-OVERRUN_RETRY_AFTER_MS = 100.0  # for a request whose client sent too much behind it
+# A connection without input: its greenlet and stack, socket, parser and objects.
+CONNECTION_BYTES = 10_240
+RETRY_AFTER_MS = 100.0  # for requests that were not decided on for want of room, or could not be checked
 # With this much unread, the end of the client's stream may still be in the client's own buffer.
 HIDING_BYTES = 32_768
 
 
+class NoRoom(Exception):
+    """The memory or the place of a connection is needed for others before its request is complete."""
+
+
 class Phase(IntEnum):
     """What a connection waits for; each phase has its own time-out."""
 
@@ -118,10 +124,13 @@
         clock: Callable[[], float],
         log: Callable[..., None],
         connections: int,
+        memory: MemoryBudget,
     ) -> None:
-        """connections: the maximum number of accepted connections."""
+        """connections: the maximum number of accepted connections; memory: of all fronts of the process."""
         self.limits, self.core, self.renderer = limits, core, renderer
         self.timers, self.clock, self.log = timers, clock, log
+        self.memory = memory
+        memory.reclaimers.append(self.reclaim_memory)
         self.stopping = False  # every response announces that its connection closes
         self.no_wait = False  # connections read what their socket buffer holds, without waiting for more
         self.connection_type: Callable[[Any, socket.socket, str], ClientConnection] = ClientConnection
@@ -143,9 +152,13 @@
                 "too_late",
                 "linger_full",
                 "unchecked_client",
+                "no_memory",
+                "evicted_memory",
             ),
             0,
         )
+        self.turns = TurnQueue()
+        self.writing: dict[ClientConnection, None] = {}  # waiting for their client to read, longest first
         self.lingering = 0  # connections that were answered and only read until the client closes
 
     def serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -154,12 +167,43 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = self.connection_type(self, sock, address[0])
         try:
-            connection.run()
+            if self.memory.make_room():
+                connection.run()
+            else:
+                self.counts["no_memory"] += 1
         except OSError:
             pass  # the client disconnected
         finally:
             connection.close()
 
+    def reclaim_memory(self) -> bool:
+        """End the connection whose memory can be spared most easily; False if there is none.
+
+        First those without a request so far, then idle ones, then those in the middle of a request, then
+        those whose client does not read its response. A request that was read is never ended.
+        """
+        if (victim := self._least_valuable_reader()) is not None:
+            self.counts["evicted_memory"] += 1
+            victim.evict()
+            return True
+        if self.writing:
+            self.counts["evicted_memory"] += 1
+            next(iter(self.writing)).abandon_response()
+            return True
+        return False
+
+    def _least_valuable_reader(self) -> ClientConnection | None:
+        incomplete = [c for c in self.reading if c not in self.idle and not c.evicted]
+        strangers = [c for c in incomplete if not c.answered]
+        if strangers:
+            return max(strangers, key=lambda c: c.memory.size)
+        idle = [c for c in self.idle if not c.evicted]
+        for answered in (False, True):
+            for connection in idle:
+                if connection.answered is answered and not connection.has_unread_bytes():
+                    return connection
+        return max(incomplete, key=lambda c: c.memory.size, default=None)
+
     def close_idle_clients(self) -> None:
         """Close idle connections that had a response; one whose next request has arrived serves it first."""
         for connection in [c for c in self.idle if c.answered]:
@@ -199,7 +243,10 @@
         limits = front.limits
         self.front, self.sock, self.limits, self.peer = front, sock, limits, peer
         self.reader = RequestReader(limits.header_bytes, limits.header_count, limits.body_bytes)
-        self.turn = Turn()
+        self.turn = Turn(READ_BYTES)
+        self.place: Event | None = None  # in the queue of turns
+        self.memory = front.memory.account(CONNECTION_BYTES)
+        self.evicted = False  # its memory is needed for others
         self.watcher: Any = None  # reports readability while a response is pending
         self.exchange: Exchange | None = None  # the request whose response is pending
         self.client_gone = False
@@ -219,10 +266,12 @@
             self.watcher.stop()
             self.watcher.close()
         self.sock.close()
+        self.memory.resize(0)
 
     def run(self) -> None:
         """Serve requests until either side ends the connection."""
         front = self.front
+        rejection: bytes | None = None
         while True:
             try:
                 request = self._read_request()
@@ -236,11 +285,15 @@
                     front.in_flight -= 1
             except Rejected as fault:
                 front.counts["rejected"] += 1
-                self._send_and_close(front.renderer.rejected(fault))
+                rejection = front.renderer.rejected(fault)
+            except NoRoom:
+                rejection = front.renderer.final(Refused(RETRY_AFTER_MS, Why.PRESSURE), b"", False)
+            if rejection is not None:
+                self._send_and_close(rejection)
                 return
             if self.client_gone:
                 return
-            self.turn.spend(0, messages=1)
+            self._spend_turn(0, messages=1)
             self.answered = True
             if not self.keep_alive:
                 if self.pipelined:
@@ -258,9 +311,20 @@
         except BlockingIOError:
             sent = 0  # the send buffer is full of unread responses; the write time-out below applies
         if sent < len(response):
-            self.sock.settimeout(self.limits.write_timeout_ms / 1000)
+            self._send_rest(response, sent)
+
+    def _send_rest(self, response: bytes, sent: int) -> None:
+        """Write the part of a response that has to wait for its client to read."""
+        front = self.front
+        self.memory.resize(self.memory.size + len(response))
+        front.writing[self] = None
+        front.memory.make_room()
+        self.sock.settimeout(self.limits.write_timeout_ms / 1000)
+        try:
             self.sock.sendall(memoryview(response)[sent:])
-            self.sock.settimeout(None)
+        finally:
+            front.writing.pop(self, None)
+        self.sock.settimeout(None)
 
     @property
     def keep_alive(self) -> bool:
@@ -278,6 +342,7 @@
             return None
         self.no_wait = front.no_wait
         self.last_read_bytes = self.limits.header_bytes + self.limits.body_bytes
+        self.memory.resize(CONNECTION_BYTES + self.pipelined_bytes)
         idle_since_ms = front.clock()
         timer = front.timers.schedule(idle_since_ms + self.phase_timeout_ms(Phase.IDLE), self.stop_waiting)
         phase, sent_continue = Phase.IDLE, False
@@ -289,16 +354,23 @@
                     sent_continue = True
                     self.sock.sendall(CONTINUE)
                 data = self._read_bytes()
+                if self.evicted:
+                    self._raise_if_begun(phase)
+                    return None
                 if not data:
                     return self._incomplete_request(phase)
                 if phase is Phase.IDLE:
                     front.idle.pop(self, None)
                     self.first_byte_ms = self.last_byte_ms
                 size = len(data)
-                self._parse(data)
+                reader.feed(data)
                 del data  # what the reader keeps is enough while this greenlet waits
+                self._account()
                 if reader.ready:
                     break
+                if self.evicted:
+                    self._raise_if_begun(phase)
+                    return None
                 if (current := Phase.BODY if reader.in_body else Phase.HEADER) > phase:
                     phase = current
                     self.no_wait = front.no_wait
@@ -306,13 +378,52 @@
                     timer = front.timers.schedule(
                         front.clock() + self.phase_timeout_ms(phase), self.stop_waiting
                     )
-                self.turn.spend(size)
+                self._spend_turn(size)
+                if self.evicted:
+                    self._raise_if_begun(phase)
+                    return None
         finally:
             front.timers.cancel(timer)
             front.reading.pop(self, None)
             front.idle.pop(self, None)
         return reader.ready.popleft()
 
+    def _account(self) -> None:
+        """Count the memory that the request takes; raises NoRoom if there is not enough.
+
+        A complete request is never given up here: it was read.
+        """
+        if self.reader.ready:
+            self.front.reading.pop(self, None)
+        kept = self.reader.kept_bytes + self.pipelined_bytes
+        self.memory.resize(CONNECTION_BYTES + kept)
+        if not self.front.memory.make_room() and not self.reader.ready:
+            raise NoRoom
+
+    def evict(self) -> None:
+        """End this connection, which is reading, and free its memory at once.
+
+        If a request has begun, it is answered with an error: the client may have sent all of it.
+        """
+        self.evicted = True
+        self.reader.discard()
+        self.pipelined_data.clear()
+        self.pipelined_bytes = 0
+        self.memory.resize(0)
+        self.stop_waiting()
+
+    @staticmethod
+    def _raise_if_begun(phase: Phase) -> None:
+        """An evicted connection is closed, with an error if a request has begun on it."""
+        if phase is not Phase.IDLE:
+            raise NoRoom
+
+    def abandon_response(self) -> None:
+        """Stop writing to a client that does not read; its greenlet then closes the connection."""
+        self.front.writing.pop(self, None)
+        self.memory.resize(0)
+        self.sock.shutdown(socket.SHUT_RDWR)
+
     def _incomplete_request(self, phase: Phase) -> Request | None:
         """What to do at the end of the input, or when the time is up; raises Rejected to answer an error."""
         if not self.no_wait or phase is Phase.IDLE:
@@ -322,20 +433,11 @@
         self.front.counts["too_late"] += 1
         raise Rejected(408, "the request took too long to come")
 
-    def _parse(self, data: bytes) -> None:
-        """Parse in small pieces up to the end of a request, and keep the rest for the next one."""
-        reader = self.reader
-        for start in range(0, len(data), PARSE_BYTES):
-            reader.feed(data[start : start + PARSE_BYTES])
-            if reader.ready:
-                if rest := data[start + PARSE_BYTES :]:
-                    self._keep(rest, self.last_byte_ms)
-                return
-
     def _keep(self, data: bytes, last_byte_ms: float) -> None:
         """Keep bytes for the next request."""
         self.pipelined_data.append(data)
         self.pipelined_bytes += len(data)
+        self.memory.resize(self.memory.size + len(data))
         self.pipelined_last_byte_ms = last_byte_ms
 
     def _read_bytes(self) -> bytes:
@@ -350,11 +452,11 @@
             return data
         while not self.no_wait:
             try:
-                data, self.last_byte_ms = receive(self.sock, READ_BYTES, self.front.clock)
+                data, self.last_byte_ms = receive(self.sock._sock, READ_BYTES, self.front.clock)
                 return data
-            except TimeoutError:
-                pass  # from stop_waiting; the wait goes on if no_wait was reset in the same loop iteration
-        if self.last_read_bytes <= 0:
+            except BlockingIOError:
+                self._wait_for_input()  # goes on if no_wait was reset in the same loop iteration
+        if self.evicted or self.last_read_bytes <= 0:
             return b""
         try:
             data, self.last_byte_ms = receive(self.sock._sock, READ_BYTES, self.front.clock)
@@ -363,6 +465,23 @@
         self.last_read_bytes -= len(data)
         return data
 
+    def _wait_for_input(self) -> None:
+        """Wait until the socket is readable or `stop_waiting` is called."""
+        if self in self.front.idle:  # nothing of a request has come: no turn is owed for the one before
+            self.turn.begin()
+        with suppress(TimeoutError):
+            self.sock._wait(self.sock._read_event)
+
+    def _spend_turn(self, size: int, messages: int = 0) -> None:
+        """Count input; if the turn is over, wait for the next one, or until `stop_waiting` is called."""
+        if not self.turn.ends_after(size, messages):
+            return
+        self.place = self.front.turns.add()
+        try:
+            self.place.wait()
+        finally:
+            self.place = None
+
     def phase_timeout_ms(self, phase: Phase) -> float:
         """Time allowed for a phase of reading."""
         limits = self.limits
@@ -378,6 +497,8 @@
         Called when the time-out of a phase expires, or when the front wants the connection to end.
         """
         self.no_wait = True
+        if self.place is not None:
+            self.place.set()
         gevent.get_hub().cancel_wait(self.sock._read_event, TimeoutError())
 
     def _send_and_close(self, response: bytes) -> None:
@@ -390,17 +511,26 @@
         """Read what the client still sends until it closes or the time is up, also if it never pauses."""
         front = self.front
         self.sock.shutdown(socket.SHUT_WR)
+        if self.evicted:  # others wait for its place: only what has come is read
+            return self._drop_unread()
         if front.lingering >= MAX_LINGERING:
             front.counts["linger_full"] += 1
             return
         front.lingering += 1
         try:
             with gevent.Timeout(LINGER_S, False), suppress(OSError):
-                while data := self.sock.recv(READ_BYTES):
-                    self.turn.spend(len(data))
+                while data := self.sock.recv(DROP_BYTES):
+                    self._spend_turn(len(data))
         finally:
             front.lingering -= 1
 
+    def _drop_unread(self) -> None:
+        """Read the rest of a request from the socket buffer, so that closing doesn't reset the connection."""
+        with suppress(OSError):
+            for _ in range((self.limits.header_bytes + self.limits.body_bytes) // DROP_BYTES):
+                if not self.sock._sock.recv(DROP_BYTES):
+                    return
+
     def has_unread_bytes(self) -> bool:
         """Whether the socket buffer holds bytes that the connection's greenlet has not read."""
         try:
@@ -473,13 +603,13 @@
         With a lot of unread input the end of the client's stream may not have come, however long ago the
         client closed its connection.
         """
-        found = self._read_ahead(MAX_DROPPED_BYTES // READ_BYTES)
+        found = self._read_ahead(MAX_DROPPED_BYTES // DROP_BYTES)
         if found is InputAhead.ENDED:
             self._withdraw(ClientLeft())
         elif found is InputAhead.MORE and self._may_hide_an_end() and self.exchange is not None:
             self.front.counts["unchecked_client"] += 1
             unsent = not self.exchange.written
-            self._withdraw(Refused(OVERRUN_RETRY_AFTER_MS, Why.PRESSURE) if unsent else Failed(False))
+            self._withdraw(Refused(RETRY_AFTER_MS, Why.PRESSURE) if unsent else Failed(False))
 
     def _withdraw(self, final: Final) -> None:
         self.watcher.stop()
@@ -499,7 +629,7 @@
                     self.front.counts["ahead_full"] += 1
                     self.watcher.stop()
                     break
-                data, last_byte_ms = receive(self.sock._sock, READ_BYTES, self.front.clock)
+                data, last_byte_ms = receive(self.sock._sock, DROP_BYTES, self.front.clock)
                 if not data:
                     return InputAhead.ENDED
                 self._add_ahead(data, last_byte_ms)
--- a/tamarindfold/ingress/forward_auth.py
+++ b/tamarindfold/ingress/forward_auth.py
@@ -17,6 +17,7 @@
 
 from tamarindfold.config.derive import backend_address
 from tamarindfold.config.model import GatewayConfig
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.forward.addresses import TrustedProxies
 from tamarindfold.forward.gate import Gate
 from tamarindfold.forward.original import OriginalRequestHeaders, parse_original_request
@@ -80,10 +81,11 @@
         clock: Callable[[], float],
         log: Callable[..., None],
         number: int,
+        memory: MemoryBudget,
     ) -> None:
         section = config.forward
         assert section is not None
-        super().__init__(config, core, authenticator, timers, clock, log, number, section.connections)
+        super().__init__(config, core, authenticator, timers, clock, log, number, section.connections, memory)
         header_names = section.names
         self.section, self.trust = section, TrustedProxies(section.trusted)
         self.original_headers = OriginalRequestHeaders.from_config(
--- a/tamarindfold/ingress/front.py
+++ b/tamarindfold/ingress/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from tamarindfold.config.model import GatewayConfig
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.forward.networks import NetworkRule, NetworkRules
 from tamarindfold.http1.requests import Rejected, Request
 from tamarindfold.ingress import headers as names
@@ -42,8 +43,9 @@
         log: Callable[..., None],
         number: int,
         connections: int,
+        memory: MemoryBudget,
     ) -> None:
-        super().__init__(config.limits, core, responses, timers, clock, log, connections)
+        super().__init__(config.limits, core, responses, timers, clock, log, connections, memory)
         self.authenticator = authenticator
         self.name_prefix = b"%d-%x-" % (number, int(clock()))  # of request names that the gateway assigns
         self.networks = (
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -17,6 +17,7 @@
 from tamarindfold.config.model import GatewayConfig, Introspection
 from tamarindfold.counter.driver import Counter
 from tamarindfold.counter.pipeline import IncrByFloat
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.identity.driver import RegistryClient
 from tamarindfold.identity.files import pepper, public_key
 from tamarindfold.identity.model import PlanRow
@@ -79,9 +80,19 @@
             config.limits.answer_bytes,
             clock,
         )
+        self.memory = MemoryBudget(config.limits.client_memory_bytes)
+        self.core.gateway.max_customers = config.limits.customers
         self.timers = Timers(clock)
         servers = TamarindBackendAdapter(lambda: self.core.gateway.settings, log)
-        self.core.sender = Upstream(self.core, self.pool, self.timers, servers, clock)
+        self.core.sender = Upstream(
+            self.core,
+            self.pool,
+            self.timers,
+            servers,
+            clock,
+            max_held_bytes=config.limits.client_memory_bytes,
+            memory=self.memory,
+        )
         self.introspector = Introspector(
             introspection.url,
             introspection.client_id,
@@ -104,9 +115,12 @@
             log,
             self.number,
             config.limits.connections,
+            self.memory,
         )
         self.forward_front = (
-            ForwardAuthFront(config, self.core, authenticator, self.timers, clock, log, self.number)
+            ForwardAuthFront(
+                config, self.core, authenticator, self.timers, clock, log, self.number, self.memory
+            )
             if config.forward is not None
             else None
         )
@@ -383,6 +397,11 @@
             "held": self.in_flight,
             "requests": self.core.requests(),
             "front": self.front.counts,
+            "memory": {
+                "connections": self.memory.used,
+                "connections_peak": self.memory.peak,
+                "customers_forgotten": self.core.gateway.customers_forgotten,
+            },
             "tokens": self.introspector.checker.counts,
             "connections": self.pool.counts,
             "counter": counter,
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -13,6 +13,7 @@
 
 from gevent.socket import wait_write
 
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.http1.responses import MAX_HEAD_BYTES, BadResponse
 from tamarindfold.ingress.arrival import receive
 from tamarindfold.ingress.attempt import Attempt, AttemptNotSent
@@ -25,6 +26,8 @@
 from tamarindfold.links.turns import Turn
 
 READ_BYTES = 16_384
+ALWAYS_READ_BYTES = 65_536  # of a response: there is room for a usual one, whatever clients take
+ANSWER_COPIES = 2  # of a response in memory: as it is read, and as it is answered
 
 
 class Upstream:
@@ -39,13 +42,16 @@
         clock: Callable[[], float],
         reuse_after_break_ms: float = math.inf,
         max_held_bytes: float = math.inf,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """reuse_after_break_ms: non-idempotent requests use idle connections if none broke for this long.
 
-        max_held_bytes: bound on the total of all responses that are being read.
+        max_held_bytes: bound on the memory of all responses that are being read, which is part of `memory`.
         """
         self.reuse_after_break_ms, self.max_held_bytes = reuse_after_break_ms, max_held_bytes
         self.held_bytes = self.peak_held_bytes = 0  # of all responses that are being read
+        self.memory_budget = memory or MemoryBudget()
+        self.memory = self.memory_budget.account()
         self.core, self.pool, self.timers, self.backends, self.clock = core, pool, timers, backends, clock
         self.running: dict[tuple[int, int], Attempt] = {}
         self.counts = {outcome.name.lower(): 0 for outcome in Outcome} | {"no_room": 0}
@@ -91,7 +97,7 @@
         finally:
             self.timers.cancel(timer)
             del self.running[exchange.number, attempt.number]
-            self.held_bytes -= attempt.received_bytes
+            self._hold(-attempt.received_bytes)
         served, units = None, 0.0
         report: tuple[float, ...] = ()
         connection = attempt.connection
@@ -135,6 +141,7 @@
             self.pool.close(connection)  # an abort shuts it down, even if the response was complete
         else:
             self.pool.release(connection)
+            connection.reader.discard()  # the response was taken
 
     def _is_replaced(self, attempt: Attempt, connection: Connection) -> bool:
         """Whether another process is now behind the server's number than at the connection's other end."""
@@ -201,15 +208,20 @@
     def _account(self, attempt: Attempt, size: int) -> None:
         """Count received bytes; BadResponse if one response or the sum of all exceeds its memory bound."""
         attempt.received_bytes += size
-        self.held_bytes += size
-        self.peak_held_bytes = max(self.peak_held_bytes, self.held_bytes)
+        self._hold(size)
         if (
-            self.held_bytes > self.max_held_bytes
+            self.memory.size > self.max_held_bytes
             or attempt.received_bytes > self.pool.answer_bytes + MAX_HEAD_BYTES
+            or (attempt.received_bytes > ALWAYS_READ_BYTES and not self.memory_budget.make_room())
         ):
             self.counts["no_room"] += 1
             raise BadResponse("responses exceed the memory bound")
 
+    def _hold(self, size: int) -> None:
+        self.held_bytes += size
+        self.peak_held_bytes = max(self.peak_held_bytes, self.held_bytes)
+        self.memory.resize(self.held_bytes * ANSWER_COPIES)
+
     def _connection(self, attempt: Attempt) -> Connection:
         """A connection to the attempt's server: an idle one if possible, else a new one.
 
--- a/tamarindfold/links/turns.py
+++ b/tamarindfold/links/turns.py
@@ -1,54 +1,106 @@
 """Fair turns on the event loop for greenlets that read from sockets.
 
 A read that finds data does not yield, so a greenlet whose peer always sends more would keep the event loop.
-Each reader counts what it has done in this iteration of the loop; once its budget is spent, timers, other
-sockets and other greenlets go first.
+Each reader counts what it has done; once its turn is spent, timers, sockets and other greenlets go first.
+Readers of untrusted input share a queue besides, so that any number of them takes a bounded part of the time.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from time import monotonic
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 TURN_BYTES = 16_384
 TURN_MESSAGES = 8
 TURN_S = 0.002
+# of untrusted input: a piece of it may take a hundred times longer to parse than one of a usual body
+UNTRUSTED_TURN_BYTES = 4_096
+QUEUE_S = 0.002  # for all queued readers together in one iteration of the event loop
+
+
+def let_others_run() -> None:
+    """Return in the next iteration of the event loop, after all that is due and all that is readable.
+
+    gevent.sleep(0) would not do: it may return in the same iteration, before the loop looks at the sockets.
+    """
+    hub = gevent.get_hub()
+    hub.wait(hub.loop.timer(0.0))
 
 
 class Turn:
-    """The budget of one reader for one iteration of the event loop."""
+    """What one reader may do before it lets others run."""
 
-    __slots__ = ("_bytes_left", "_iteration", "_loop", "_messages_left", "_until_s")
+    __slots__ = ("_bytes_left", "_iteration", "_loop", "_messages_left", "_size", "_until_s")
 
-    def __init__(self) -> None:
+    def __init__(self, size: int = TURN_BYTES) -> None:
         self._loop = gevent.get_hub().loop
-        self._begin()
+        self._size = size
+        self._iteration, self._until_s = -1, 0.0
+        self.begin()
 
-    def spend(self, size: int, messages: int = 0) -> None:
-        """Count received bytes and handled messages; if the budget is spent, let everybody else run first."""
+    def begin(self) -> None:
+        """Start a new turn; called by a reader that has to wait for its peer."""
+        self._bytes_left, self._messages_left = self._size, TURN_MESSAGES
+
+    def ends_after(self, size: int, messages: int = 0) -> bool:
+        """Count received bytes and handled messages; True if the turn is over, and a new one begins."""
         if self._loop.iteration != self._iteration:
-            self._begin()
+            self._iteration = self._loop.iteration
+            self._until_s = monotonic() + TURN_S
         self._bytes_left -= size
         self._messages_left -= messages
-        if self._bytes_left <= 0 or self._messages_left <= 0 or monotonic() >= self._until_s:
-            let_others_run()
-            self._begin()
+        if self._bytes_left > 0 and self._messages_left > 0 and monotonic() < self._until_s:
+            return False
+        self.begin()
+        return True
 
-    def _begin(self) -> None:
-        self._iteration = self._loop.iteration
-        self._bytes_left, self._messages_left = TURN_BYTES, TURN_MESSAGES
-        self._until_s = monotonic() + TURN_S
+    def spend(self, size: int, messages: int = 0) -> None:
+        """Count received bytes and handled messages; if the turn is over, let others run first."""
+        if self.ends_after(size, messages):
+            let_others_run()
 
 
-def let_others_run() -> None:
-    """Return in the next iteration of the event loop, after all that is due and all that is readable.
+class TurnQueue:
+    """Readers that have spent their turn, in the order in which they go on."""
 
-    gevent.sleep(0) would not do: it may return in the same iteration, before the loop looks at the sockets.
-    """
-    hub = gevent.get_hub()
-    hub.wait(hub.loop.timer(0.0))
+    def __init__(self) -> None:
+        self._waiting: deque[Event] = deque()
+        self._wanted = Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self) -> Event:
+        """A place at the end of the queue; the event is set when the reader may go on."""
+        if self._greenlet is None:
+            self._greenlet = gevent.spawn(self._run)
+        place = Event()
+        self._waiting.append(place)
+        self._wanted.set()
+        return place
+
+    def stop(self) -> None:
+        """Stop; whoever waits then waits for ever."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            if not self._waiting:
+                self._wanted.clear()
+                self._wanted.wait()
+            let_others_run()
+            until_s = monotonic() + QUEUE_S
+            for _ in range(len(self._waiting)):  # those that come back wait for the next iteration
+                self._waiting.popleft().set()
+                gevent.sleep(0)  # the reader takes its turn
+                if monotonic() >= until_s:
+                    break
 
 
 class FairSocket:
--- a/tamarindfold/node/__main__.py
+++ b/tamarindfold/node/__main__.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from tamarindfold.node.logs import logger
-from tamarindfold.node.server import Node
+from tamarindfold.node.server import Node, resident_peak_bytes
 from tamarindfold.platform import configuration
 
 CONFIG_VARIABLE = "RELAY_CONFIG"
@@ -52,7 +52,7 @@
         if not os.environ.get(CONFIG_VARIABLE):
             raise ValueError("is not set; it names the configuration file")
         config = configuration.read(path.read_bytes())
-        node = Node(config, logger(config.name))
+        node = Node(config, logger(config.name), resident_peak_bytes())
         nodes.append(node)
         node.start(stop)
     except (OSError, ValueError) as error:
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -7,6 +7,7 @@
 
 from gevent import socket
 
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.http1.requests import Rejected, Request
 from tamarindfold.ingress.connection import BaseFront, ClientConnection, Phase
 from tamarindfold.ingress.core import Core
@@ -34,6 +35,7 @@
         timers: Timers,
         clock: Callable[[], float],
         log: Callable[..., None],
+        memory: MemoryBudget,
         not_ready_reason: Callable[[], str],
     ) -> None:
         settings = core.gateway.settings
@@ -45,6 +47,7 @@
             clock,
             log,
             limits.connections + limits.eviction_headroom,
+            memory,
         )
         self.not_ready_reason = not_ready_reason
         self.parser = CallParser(settings)
@@ -70,7 +73,8 @@
     def _make_room(self) -> bool:
         """Evict the oldest unproven connection or, if there is none, the one that has been idle the longest.
 
-        A connection with a request in its socket buffer or in progress is never evicted. The evicted
+        One with a request in its socket buffer or in progress is not closed without an answer: if there is no
+        other, the oldest unproven one in the middle of its request gets an error. The evicted
         connection's own greenlet closes it in this iteration of the event loop; until then it counts towards
         `eviction_headroom`.
         """
@@ -85,6 +89,11 @@
                 self.counts["evicted"] += 1
                 victim.stop_waiting()
                 return True
+        begun = (c for c in self.unproven if c in self.reading and c not in self.idle and not c.evicted)
+        if (unfinished := next(begun, None)) is not None:
+            self.counts["evicted"] += 1
+            unfinished.evict()
+            return True
         return False
 
 
--- a/tamarindfold/node/server.py
+++ b/tamarindfold/node/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from tamarindfold.choice import Gateway
 from tamarindfold.counter.driver import Counter
+from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.ingress.arrival import enable_arrival_timestamps
 from tamarindfold.ingress.clock import SteadyClock
 from tamarindfold.ingress.core import Core
@@ -27,6 +29,7 @@
 from tamarindfold.platform.registry import BackendDirectory
 
 BACKLOG = 1024
+KIBIBYTE = 1024
 HEARTBEAT_INTERVAL_S = 0.05
 CLEANUP_HEARTBEATS = 20  # heartbeats between two clean-ups of the connection pool
 SLEW_HEARTBEATS = 20  # heartbeats between two clock corrections
@@ -35,15 +38,24 @@
 DRAIN_TIMEOUT_S = 30.0  # longest wait for open connections when the ingress stops
 
 
+def resident_peak_bytes() -> int:
+    """The most memory that this process has had resident."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIBIBYTE
+
+
 class Node:
     """One ingress: client front, decision module, and links to backends, discovery and the counter."""
 
-    def __init__(self, config: Configuration, log: Callable[..., None]) -> None:
+    def __init__(self, config: Configuration, log: Callable[..., None], rest_bytes: int = 0) -> None:
+        """rest_bytes: the memory that the program needs before it serves anybody."""
         self.config, self.log = config, log
         self.steady = SteadyClock()
         clock, settings = self.steady.now, config.settings
-        self.limits = limits = allocate_limits(config.sockets, config.memory_mb, config.open_cap)
-        self.core = Core(Gateway(settings, config.seed), clock, log, limits.stall_ms)
+        self.limits = limits = allocate_limits(config.sockets, config.memory_mb, config.open_cap, rest_bytes)
+        self.memory = MemoryBudget(limits.connection_bytes)
+        gateway = Gateway(settings, config.seed)
+        gateway.max_customers = limits.customers
+        self.core = Core(gateway, clock, log, limits.stall_ms)
         self.directory = BackendDirectory(config.zones, config.kinds)
         self.pool = Pool(
             config.conn_idle_ms / 2,
@@ -64,8 +76,11 @@
             clock,
             limits.reuse_after_break_ms,
             limits.total_answer_bytes,
+            self.memory,
+        )
+        self.front = PlatformFront(
+            limits, self.core, self.timers, clock, log, self.memory, self.not_ready_reason
         )
-        self.front = PlatformFront(limits, self.core, self.timers, clock, log, self.not_ready_reason)
         self.watch = DiscoveryWatch(
             config.discovery,
             lambda: self.directory.generation,
@@ -199,6 +214,13 @@
             }
             if pipeline is not None
             else {},
+            "memory": {
+                "connections": self.memory.used,
+                "connections_peak": self.memory.peak,
+                "connections_limit": round(self.memory.capacity),
+                "resident_peak": resident_peak_bytes(),
+                "customers_forgotten": gateway.customers_forgotten,
+            },
             "sizes": {
                 "clients": len(front.clients),
                 "idle": len(front.idle),
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Iterable
-from hashlib import blake2b
+from _blake2 import blake2b  # hashlib would load OpenSSL, an eighth of the memory at rest
 from typing import Annotated
 
 import httptools
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -91,7 +91,7 @@
     "input behind a request": lambda seed: _valid(seed) + b"x" * CHUNK_BYTES,
     "new cached values": _cached_values,
     "new tokens": _new_token,
-    "random": HOLDING["random"],
+    "random pieces": HOLDING["random"],
 }
 # the answer is awaited before the next request, as a client that keeps to the protocol does
 ALTERNATING = ("new names", "new cached values", "new tokens")
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -39,7 +39,7 @@
     """Clients that ask at an even rate, each on a new connection; what came of each request."""
 
     def __init__(self, ask: Callable[[], int]) -> None:
-        self.ask, self.statuses, self.slowest_s = ask, [], 0.0
+        self.ask, self.statuses, self.times_s = ask, [], [0.0]
         self.greenlets: list[gevent.Greenlet] = []
 
     def _one(self) -> None:
@@ -48,9 +48,13 @@
             status = self.ask()
         except OSError as error:
             status = repr(error)
-        self.slowest_s = max(self.slowest_s, monotonic() - began)
+        self.times_s.append(monotonic() - began)
         self.statuses.append(status)
 
+    @property
+    def slowest_s(self) -> float:
+        return max(self.times_s)
+
     def ask_while(self, hostile: subprocess.Popen[str]) -> None:
         while hostile.poll() is None:
             self.greenlets.append(gevent.spawn(self._one))
@@ -116,7 +120,7 @@
 
     def make() -> Target:
         standins = start_standins()
-        process = start_serve(standins, tmp_path, 4096)
+        process = start_serve(standins, tmp_path, 4096, client_memory_bytes=SERVE_CLIENT_MEMORY_BYTES)
         started.extend((process, standins))
 
         def ask() -> int:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import gevent
@@ -16,7 +17,15 @@
 from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.http1.serve import serve
 from tamarindfold.ingress import connection
-from tamarindfold.links.turns import TURN_BYTES, TURN_MESSAGES, FairSocket, Turn, let_others_run
+from tamarindfold.links.turns import (
+    QUEUE_S,
+    TURN_BYTES,
+    TURN_MESSAGES,
+    FairSocket,
+    Turn,
+    TurnQueue,
+    let_others_run,
+)
 from tamarindfold.membership.driver import FeedSubscriber
 
 WHOLE_BYTES = 1 << 20
@@ -84,6 +93,24 @@
     assert loop.iteration > before
 
 
+def test_queue_grants_each_reader_one_turn_in_order_and_a_bounded_time_in_an_iteration() -> None:
+    queue, took = TurnQueue(), []
+
+    def read(name: int) -> None:
+        for _ in range(2):
+            queue.add().wait()
+            took.append((gevent.get_hub().loop.iteration, name))
+            busy_until = monotonic() + QUEUE_S / 2
+            while monotonic() < busy_until:
+                pass
+
+    gevent.joinall([gevent.spawn(read, name) for name in range(8)])
+    queue.stop()
+    assert [name for _, name in took] == [*range(8), *range(8)]
+    iterations = [iteration for iteration, _ in took]
+    assert max(iterations.count(i) for i in iterations) <= 2
+
+
 @pytest.mark.parametrize("before", [b"", b"POST / HTTP/1.1\r\nHost: o\r\nContent-Length: 60000\r\n\r\n"])
 @pytest.mark.parametrize("data", [b"\r\n", b"x", b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n"])
 def test_client_that_sends_without_a_pause_takes_one_turn_at_a_time(start_testbed, data, before) -> None:
@@ -178,13 +205,13 @@
 
 def test_large_answer_of_a_backend_takes_one_turn_at_a_time(start_testbed, monkeypatch) -> None:
     spent: list[int] = []
-    original = Turn.spend
+    original = Turn.ends_after
 
-    def count(self: Turn, size: int, messages: int = 0) -> None:
+    def count(self: Turn, size: int, messages: int = 0) -> bool:
         spent.append(size)
-        original(self, size, messages)
+        return original(self, size, messages)
 
-    monkeypatch.setattr(Turn, "spend", count)
+    monkeypatch.setattr(Turn, "ends_after", count)
     testbed: PlatformTestbed = start_testbed(1, body="x" * 500_000)
     assert len(testbed.ask().body) == 500_000
     assert max(spent) <= TURN_BYTES and sum(spent) > 400_000
