A process at the address of one that has gone is never taken for it

Cause, run: the directory knew backends by id only. When discovery named a new process at an address before it said that the old id had left, both were ready at the same address: requests for the old id reached the new process, counted as to a warm backend of the old id's cell and zone (so a keyed repeat for the old cell's group could run again), and news of the old id brought it back. serve: a server is its address; an idle connection to the old process, or one in use when it was replaced, was used for the new one. Class: identity by address.

Change: BackendDirectory knows who is at an address, the process that started last; an earlier one is gone, and stays so. Two with the same start are both kept, as nothing tells which has gone. serve compares up_since_ms of a connection's server, as run compares id, address and start, and closes idle connections when it changes. Cleared by reading: the module's outcomes and coldness (a later start is a new Backend; outcomes of attempts to the old one find no place in it).

--- a/tamarindfold/ingress/backend_adapter.py
+++ b/tamarindfold/ingress/backend_adapter.py
@@ -12,7 +12,7 @@
 from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.ingress import headers as names
 from tamarindfold.ingress.exchange import Exchange
-from tamarindfold.interface import Outcome, Settings
+from tamarindfold.interface import BackendEntry, Outcome, Settings
 
 
 @lru_cache(maxsize=4096)
@@ -27,14 +27,21 @@
 
     needs_complete_request = False
 
-    def __init__(self, settings: Callable[[], Settings], log: Callable[..., None]) -> None:
-        self.settings, self.log = settings, log
+    def __init__(
+        self,
+        settings: Callable[[], Settings],
+        entry: Callable[[int], BackendEntry | None],
+        log: Callable[..., None],
+    ) -> None:
+        """entry: the list's entry of a server, by its number."""
+        self.settings, self.entry, self.log = settings, entry, log
 
     def address(self, backend: int) -> tuple[str, int]:
         return _address_and_host(backend)[0]
 
     def process_identity(self, backend: int) -> object:
-        return None  # the number is the address, and a restart of the process closes its connections
+        entry = self.entry(backend)  # the number is the address, which may pass to another process
+        return None if entry is None else entry.up_since_ms
 
     def request(self, exchange: Exchange, attempt: int, backend: int, left_ms: float) -> bytes:
         cls = self.settings().classes[exchange.cls].name.encode()
--- a/tamarindfold/ingress/server.py
+++ b/tamarindfold/ingress/server.py
@@ -83,7 +83,9 @@
         self.memory = MemoryBudget(config.limits.client_memory_bytes)
         self.core.gateway.max_customers = config.limits.customers
         self.timers = Timers(clock)
-        servers = TamarindBackendAdapter(lambda: self.core.gateway.settings, log)
+        servers = TamarindBackendAdapter(
+            lambda: self.core.gateway.settings, lambda number: self.core.fleet.get(number), log
+        )
         self.core.sender = Upstream(
             self.core,
             self.pool,
@@ -198,13 +200,13 @@
         config = self.config
         self._connect_counter()
         if config.fleet.static:
-            self.core.update_fleet(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
+            self._update_fleet(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
         else:
             self.feed = FeedSubscriber(
                 split_address(config.fleet.feed, "fleet.feed"),
                 config.fleet.reconnect_ms,
                 self._state_file("fleet", "json"),
-                self.core.update_fleet,
+                self._update_fleet,
                 self.log,
                 config.upstream.source_address,
             )
@@ -244,6 +246,15 @@
         self.log("ingress.listening", host=addresses[0][0], port=addresses[0][1])
         return addresses[0]
 
+    def _update_fleet(self, update: FleetUpdate) -> None:
+        """Apply an update of the list; idle connections to processes that were replaced are closed."""
+        before = dict(self.core.fleet)
+        self.core.update_fleet(update)
+        for number, entry in before.items():
+            current = self.core.fleet.get(number)
+            if current is None or current.up_since_ms != entry.up_since_ms:
+                self.pool.drop_idle(number)
+
     def _connect_counter(self) -> None:
         """Use the counter that the configuration names, in place of the one used before."""
         if self.counter is not None:
@@ -283,7 +294,7 @@
             self.core.apply_settings(settings, newcomer)
         self.authenticator.apply(config, has_lease)
         if config.fleet.static != before.fleet.static:
-            self.core.update_fleet(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
+            self._update_fleet(FleetUpdate(ListKind.FULL, derive.static_entries(config)))
         if config.counter != before.counter:
             self._connect_counter()
 
--- a/tamarindfold/platform/registry.py
+++ b/tamarindfold/platform/registry.py
@@ -50,12 +50,17 @@
 
 
 class BackendDirectory:
-    """The backends of the registry by number; an id has the same number at every ingress."""
+    """The backends of the registry by number; an id has the same number at every ingress.
+
+    An address belongs to one process at a time: the one that started last. An id that is still listed at an
+    address which has passed to a later process is gone.
+    """
 
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self.zones, self.kinds, self.generation = zones, kinds, 0
         self.numbers: dict[str, int] = {}
         self.entries: dict[int, tuple[str, tuple[str, int], float]] = {}  # id, address, start time
+        self.holders: dict[tuple[str, int], int] = {}  # number of the backend at each address
         self._decoder = msgspec.json.Decoder(_Line)
 
     def address(self, number: int) -> tuple[str, int] | None:
@@ -84,34 +89,55 @@
             )
             for instance in message.instances
         ]
-        entries, moved = [], []
+        entries: list[BackendEntry] = []
+        moved: list[int] = []
         if message.reset:
             listed = {instance.instanceId for instance, *_ in parsed}
             moved += [self._remove(name) for name in [n for n in self.numbers if n not in listed]]
         for instance, state, address in parsed:
-            if state is BackendState.GONE and instance.instanceId not in self.numbers:
-                continue  # it is not in the directory
+            if state is BackendState.GONE or self._is_superseded(instance, address):
+                if instance.instanceId in self.numbers:
+                    moved.append(self._remove(instance.instanceId))
+                    entries.append(self._entry(moved[-1], BackendState.GONE, instance))
+                continue
             number = self._number(instance.instanceId)
-            current = (instance.instanceId, address, instance.startedAtMs)
-            if self.entries.get(number, current) != current and state is not BackendState.GONE:
+            former = self.holders.get(address, number)
+            if former != number and self.entries[former][2] < instance.startedAtMs:
+                moved.append(self._remove(self.entries[former][0]))
+                entries.append(BackendEntry(former, BackendState.GONE))
+            if self._set(number, (instance.instanceId, address, instance.startedAtMs)):
                 moved.append(number)
-            self.entries[number] = current
-            if state is BackendState.GONE:
-                moved.append(self._remove(instance.instanceId))
-            entries.append(
-                BackendEntry(
-                    number,
-                    state,
-                    _position(self.zones, instance.zone),
-                    _position(self.kinds, instance.machineType),
-                    instance.cell,
-                    instance.weight,
-                    instance.startedAtMs,
-                )
-            )
+            entries.append(self._entry(number, state, instance))
         self.generation = message.generation
         return FleetUpdate(kind if message.reset else ListKind.CHANGES, entries, message.generation), moved
 
+    def _is_superseded(self, instance: _Instance, address: tuple[str, int]) -> bool:
+        """Whether another process that started later is at the address of this one."""
+        holder = self.holders.get(address)
+        if holder is None or holder == self.numbers.get(instance.instanceId):
+            return False
+        return self.entries[holder][2] > instance.startedAtMs
+
+    def _entry(self, number: int, state: BackendState, instance: _Instance) -> BackendEntry:
+        return BackendEntry(
+            number,
+            state,
+            _position(self.zones, instance.zone),
+            _position(self.kinds, instance.machineType),
+            instance.cell,
+            instance.weight,
+            instance.startedAtMs,
+        )
+
+    def _set(self, number: int, current: tuple[str, tuple[str, int], float]) -> bool:
+        """Record a backend; whether it was known with another address or start."""
+        former = self.entries.get(number, current)
+        if self.holders.get(former[1]) == number:
+            del self.holders[former[1]]
+        self.entries[number] = current
+        self.holders[current[1]] = number
+        return former != current
+
     def _number(self, name: str) -> int:
         """The number of an id: a hash of it or, if another id has that number already, the next free one."""
         number = self.numbers.get(name)
@@ -124,7 +150,8 @@
 
     def _remove(self, name: str) -> int:
         number = self.numbers.pop(name)
-        self.entries.pop(number, None)
+        if (entry := self.entries.pop(number, None)) is not None and self.holders.get(entry[1]) == number:
+            del self.holders[entry[1]]
         return number
 
 
