An aggregate reply of the counter costs the connection, not memory

Found while the other links were tried at 32 MB and 1,024 descriptors: a counter that sends * and then small arrays without end brought run to 33.5 MB, and the parser allocates what the first bytes announce. No dialect has arrays, maps, sets or pushes as replies. The connection is dropped at the first of their type bytes after a line end, which is what a spoilt reply costs anyway.

--- a/tamarindfold/counter/driver.py
+++ b/tamarindfold/counter/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -20,6 +21,8 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_RECONNECT_PAUSE_S = 0.5
 MAX_REPLY_BYTES = 65_536
+# Arrays, maps, sets, pushes and attributes: a few bytes of them make the parser allocate any amount.
+_AGGREGATE = re.compile(rb"\n[*%~>|]")
 
 
 class _PartConnection:
@@ -71,10 +74,13 @@
         """Report the answers received on one connection until it ends."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
-        reader, turn, incomplete_bytes = hiredis.Reader(), Turn(), 0
+        reader, turn, incomplete_bytes, last_byte = hiredis.Reader(), Turn(), 0, b"\n"
         self.pipeline.connected, self.last_write_ms = True, self.clock()
         self.log("counter.connected", part=self.link.address)
         while data := sock.recv(65536):
+            if _AGGREGATE.search(last_byte + data):
+                raise ValueError("counter: a reply is an aggregate, not a total")
+            last_byte = data[-1:]
             reader.feed(data)
             incomplete_bytes += len(data)
             while (value := self._next_reply(reader)) is not False:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -17,6 +17,7 @@
 from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.http1.serve import serve
 from tamarindfold.ingress import connection
+from tamarindfold.interface import Count
 from tamarindfold.links.turns import (
     QUEUE_S,
     TURN_BYTES,
@@ -173,16 +174,31 @@
     assert endless.most_bytes <= MAX_ITERATION_BYTES and len(updates) > 1000
 
 
-@pytest.mark.parametrize("reply", [b":1\r\n", b"$400000000\r\n"])
-def test_reply_of_the_counter_that_never_ends_costs_the_connection(start_testbed, reply) -> None:
+def test_reply_of_the_counter_that_never_ends_costs_the_connection(start_testbed) -> None:
     testbed: PlatformTestbed = start_testbed()
     part = testbed.node.counter.parts[0]
-    endless = EndlessInput(reply, b"*100000000\r\n")
+    endless = EndlessInput(b"x", b"$400000000\r\n")
     with pytest.raises(ValueError, match="no reply is complete"):
         part._read_replies(endless)
     assert endless.given <= MAX_REPLY_BYTES + 65_536
 
 
+@pytest.mark.parametrize("first", [b"*100000000\r\n", b"%1\r\n*1\r\n:1\r\n:1\r\n", b":1\r\n>5\r\n"])
+@pytest.mark.parametrize("size", [1, 100])
+def test_aggregate_reply_of_the_counter_costs_the_connection(start_testbed, first, size) -> None:
+    """Its parser would allocate what the reply announces, or raise what nobody expects."""
+    testbed: PlatformTestbed = start_testbed()
+    part = testbed.node.counter.parts[0]
+    part.report = lambda answer: None
+    pieces = [first[at : at + size] for at in range(0, len(first), size)]
+    endless = EndlessInput(b"x")
+    endless.recv = lambda _: pieces.pop(0) if pieces else b""
+    part.pipeline.connected = True
+    part.pipeline.call(part.clock(), Count(1, 1.0, 1000.0))
+    with pytest.raises(ValueError, match="aggregate"):
+        part._read_replies(endless)
+
+
 def test_server_of_small_requests_takes_one_turn_at_a_time() -> None:
     endless = EndlessInput(b"GET / HTTP/1.1\r\nHost: o\r\n\r\n")
     iterations: list[int] = []
