--- a/tamarindfold/ds/memory.py
+++ b/tamarindfold/ds/memory.py
@@ -44,5 +44,6 @@
         """Set what the holder takes now, in bytes."""
         budget = self._budget
         budget.used += size - self.size
-        budget.peak = max(budget.peak, budget.used)
+        if budget.used > budget.peak:
+            budget.peak = budget.used
         self.size = size
--- a/tamarindfold/http1/requests.py
+++ b/tamarindfold/http1/requests.py
@@ -93,7 +93,7 @@
     @property
     def kept_bytes(self) -> int:
         """The memory that the reader takes for requests, complete or not."""
-        return self._complete_bytes + self._message_bytes()
+        return self._complete_bytes + (self._message_bytes() if self.in_message else 0)
 
     def _message_bytes(self) -> int:
         return MESSAGE_BYTES + FIELD_BYTES * len(self._current.headers) + self._fed + len(self._body)
@@ -174,7 +174,8 @@
     def on_message_complete(self) -> None:
         current = self._current
         self._complete_bytes += self._message_bytes()
-        current.body = self._body.take()
+        if len(self._body):
+            current.body = self._body.take()
         current.keep_alive = bool(self._parser.should_keep_alive())
         self.in_message = self.in_body = self.wants_continue = False
         self._fed = 0
--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -395,9 +395,9 @@
         """
         if self.reader.ready:
             self.front.reading.pop(self, None)
-        kept = self.reader.kept_bytes + self.pipelined_bytes
-        self.memory.resize(CONNECTION_BYTES + kept)
-        if not self.front.memory.make_room() and not self.reader.ready:
+        budget = self.front.memory
+        self.memory.resize(CONNECTION_BYTES + self.reader.kept_bytes + self.pipelined_bytes)
+        if budget.used > budget.capacity and not budget.make_room() and not self.reader.ready:
             raise NoRoom
 
     def evict(self) -> None:
@@ -625,7 +625,7 @@
         """
         try:
             for _ in range(reads):
-                if self.pipelined_bytes > (self.limits.ahead_bytes if self.keep_alive else MAX_DROPPED_BYTES):
+                if self.pipelined_bytes and self._is_too_far_ahead():
                     self.front.counts["ahead_full"] += 1
                     self.watcher.stop()
                     break
@@ -639,6 +639,9 @@
             return InputAhead.ENDED
         return InputAhead.ENDED if peer.has_closed(self.sock) else InputAhead.MORE
 
+    def _is_too_far_ahead(self) -> bool:
+        return self.pipelined_bytes > (self.limits.ahead_bytes if self.keep_alive else MAX_DROPPED_BYTES)
+
     def _add_ahead(self, data: bytes, last_byte_ms: float) -> None:
         self.front.counts["ahead"] += not self.pipelined
         self.pipelined = True
--- a/tamarindfold/ingress/pool.py
+++ b/tamarindfold/ingress/pool.py
@@ -10,12 +10,13 @@
 import math
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gevent import socket
 
 from tamarindfold.http1.responses import ResponseReader
 from tamarindfold.ingress.arrival import enable_arrival_timestamps
+from tamarindfold.links.turns import Turn
 
 
 class ConnectionLimitReached(ConnectionRefusedError):
@@ -32,6 +33,7 @@
     process_identity: object = None  # of the server process at its other end
     idle_until_ms: float = 0.0
     used: bool = False  # it was returned to the pool at least once
+    turn: Turn = field(default_factory=Turn)  # of reading responses
 
     def is_quiet(self) -> bool:
         """Whether the connection is open and has no unread bytes; checks the socket without waiting."""
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -23,7 +23,6 @@
 from tamarindfold.ingress.pool import Connection, ConnectionLimitReached, Pool
 from tamarindfold.ingress.timers import Timers
 from tamarindfold.interface import BackendEntry, Effect, Outcome
-from tamarindfold.links.turns import Turn
 
 READ_BYTES = 16_384
 ALWAYS_READ_BYTES = 65_536  # of a response: there is room for a usual one, whatever clients take
@@ -192,7 +191,7 @@
 
     def _read(self, attempt: Attempt, connection: Connection) -> Outcome:
         """Read the response and return the outcome that it means."""
-        sock, reader, turn = connection.sock, connection.reader, Turn()
+        sock, reader = connection.sock, connection.reader
         while not reader.complete:
             attempt.end_arrived_ms = None  # a connection that breaks ends the attempt when it breaks
             data, attempt.end_arrived_ms = receive(sock, READ_BYTES, self.clock)
@@ -200,7 +199,7 @@
                 self._account(attempt, len(data))
                 reader.feed(data)
                 if not reader.complete:
-                    turn.spend(len(data))
+                    connection.turn.spend(len(data))
             elif attempt.aborted_as is not None or not reader.end():
                 return Outcome.RESET
         return self.backends.outcome(reader)
@@ -219,7 +218,8 @@
 
     def _hold(self, size: int) -> None:
         self.held_bytes += size
-        self.peak_held_bytes = max(self.peak_held_bytes, self.held_bytes)
+        if self.held_bytes > self.peak_held_bytes:
+            self.peak_held_bytes = self.held_bytes
         self.memory.resize(self.held_bytes * ANSWER_COPIES)
 
     def _connection(self, attempt: Attempt) -> Connection:
--- a/tamarindfold/node/call_ids.py
+++ b/tamarindfold/node/call_ids.py
@@ -32,7 +32,8 @@
         self.open.discard(call_id)
         if keep_until_ms > now_ms:
             self.ended[call_id] = keep_until_ms
-        self._forget(now_ms)
+        if self.ended:
+            self._forget(now_ms)
 
     def _forget(self, now_ms: float) -> None:
         """Drop what is over at the front, and the oldest one if there are too many.
