--- a/tamarindfold/counter/driver.py
+++ b/tamarindfold/counter/driver.py
@@ -16,13 +16,13 @@
 from tamarindfold.ds.backoff import Backoff
 from tamarindfold.interface import Count, CountAnswered
 from tamarindfold.links.link import Link
-from tamarindfold.links.turns import Turn
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_RECONNECT_PAUSE_S = 0.5
 MAX_REPLY_BYTES = 65_536
-# Arrays, maps, sets, pushes and attributes: a few bytes of them make the parser allocate any amount.
-_AGGREGATE = re.compile(rb"\n[*%~>|]")
+# Arrays, maps, sets, pushes and attributes: a few bytes of them make the parser allocate any amount. Their
+# types stand at the start of a line; no line of a total or of a known error begins with one.
+_AGGREGATE = re.compile(rb"(?:\A|\n)[*%~>|]")
 
 
 class _PartConnection:
@@ -71,16 +71,18 @@
         self.link.maintain(self._read_replies, self._lost)
 
     def _read_replies(self, sock: socket.socket) -> None:
-        """Report the answers received on one connection until it ends."""
+        """Report the answers received on one connection until it ends.
+
+        It can't keep the event loop: a reply that answers no call, or does not end, costs the connection.
+        """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
-        reader, turn, incomplete_bytes, last_byte = hiredis.Reader(), Turn(), 0, b"\n"
+        reader, incomplete_bytes = hiredis.Reader(), 0
         self.pipeline.connected, self.last_write_ms = True, self.clock()
         self.log("counter.connected", part=self.link.address)
         while data := sock.recv(65536):
-            if _AGGREGATE.search(last_byte + data):
+            if _AGGREGATE.search(data):
                 raise ValueError("counter: a reply is an aggregate, not a total")
-            last_byte = data[-1:]
             reader.feed(data)
             incomplete_bytes += len(data)
             while (value := self._next_reply(reader)) is not False:
@@ -92,7 +94,6 @@
             if incomplete_bytes > MAX_REPLY_BYTES:
                 raise ValueError(f"counter: no reply is complete within {MAX_REPLY_BYTES} bytes")
             self.link.backoff.reset()
-            turn.spend(len(data))
 
     @staticmethod
     def _next_reply(reader: Any) -> Any:
--- a/tamarindfold/ds/byte_buffer.py
+++ b/tamarindfold/ds/byte_buffer.py
@@ -26,8 +26,8 @@
     def take(self) -> bytes:
         """All bytes; the buffer is empty afterwards."""
         data, self._data = self._data, b""
-        return bytes(data)
+        return data if isinstance(data, bytes) else bytes(data)
 
     def peek(self) -> bytes:
         """All bytes, which stay in the buffer."""
-        return bytes(self._data)
+        return self._data if isinstance(self._data, bytes) else bytes(self._data)
--- a/tamarindfold/http1/requests.py
+++ b/tamarindfold/http1/requests.py
@@ -45,6 +45,12 @@
     keep_alive: bool = False
     version: str = "1.1"
 
+    @property
+    def memory_bytes(self) -> int:
+        """What the request takes in memory."""
+        fields = sum(FIELD_BYTES + len(name) + len(value) for name, value in self.headers)
+        return MESSAGE_BYTES + len(self.target) + fields + len(self.body)
+
     def get(self, name: bytes) -> bytes | None:
         """The value of a header that may occur once; Rejected(400) if it occurs twice."""
         found = None
@@ -68,15 +74,12 @@
         self._fault: tuple[int, str] | None = None
         # _size: parsed bytes of the current header or body; _fed: bytes received for the current header
         self._size = self._fed = 0
-        self._complete_bytes = 0  # memory of the complete requests that are not yet answered
         self._current = Request()
         self._body = ByteBuffer()
         self._parser = httptools.HttpRequestParser(ParserCallbacks(self))
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; Rejected if they are malformed or exceed a limit."""
-        if not self.ready:
-            self._complete_bytes = 0
         if self.closing:
             return  # the last response announces that the connection closes
         if not self.in_body:
@@ -93,15 +96,13 @@
     @property
     def kept_bytes(self) -> int:
         """The memory that the reader takes for requests, complete or not."""
-        return self._complete_bytes + (self._message_bytes() if self.in_message else 0)
-
-    def _message_bytes(self) -> int:
-        return MESSAGE_BYTES + FIELD_BYTES * len(self._current.headers) + self._fed + len(self._body)
+        complete = sum(request.memory_bytes for request in self.ready)
+        return complete + self._current.memory_bytes * self.in_message + self._fed + len(self._body)
 
     def discard(self) -> None:
         """Free all that is kept; nothing can be fed any more."""
         self.closing, self._current = True, Request()
-        self._fed = self._size = self._complete_bytes = 0
+        self._fed = self._size = 0
         self._body.take()
         self.ready.clear()
 
@@ -173,9 +174,7 @@
 
     def on_message_complete(self) -> None:
         current = self._current
-        self._complete_bytes += self._message_bytes()
-        if len(self._body):
-            current.body = self._body.take()
+        current.body = self._body.take()
         current.keep_alive = bool(self._parser.should_keep_alive())
         self.in_message = self.in_body = self.wants_continue = False
         self._fed = 0
--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -50,7 +50,7 @@
 MAX_READS_PER_TURN = 4  # of that size, of input behind a request
 # Input behind a request of a connection that will be closed is dropped up to this size; the rest is not read.
 MAX_DROPPED_BYTES = 1 << 20
-# A connection without input: its greenlet and stack, socket, parser and objects.
+# A connection with a request that came in one piece: its greenlet and stack, socket, parser and objects.
 CONNECTION_BYTES = 10_240
 RETRY_AFTER_MS = 100.0  # for requests that were not decided on for want of room, or could not be checked
 # With this much unread, the end of the client's stream may still be in the client's own buffer.
@@ -342,7 +342,8 @@
             return None
         self.no_wait = front.no_wait
         self.last_read_bytes = self.limits.header_bytes + self.limits.body_bytes
-        self.memory.resize(CONNECTION_BYTES + self.pipelined_bytes)
+        if self.memory.size != CONNECTION_BYTES:
+            self.memory.resize(CONNECTION_BYTES + self.pipelined_bytes)
         idle_since_ms = front.clock()
         timer = front.timers.schedule(idle_since_ms + self.phase_timeout_ms(Phase.IDLE), self.stop_waiting)
         phase, sent_continue = Phase.IDLE, False
@@ -365,6 +366,8 @@
                 size = len(data)
                 reader.feed(data)
                 del data  # what the reader keeps is enough while this greenlet waits
+                if reader.ready and phase is Phase.IDLE:
+                    break  # it came in one piece, for which the connection's own memory allows
                 self._account()
                 if reader.ready:
                     break
--- a/tamarindfold/ingress/upstream.py
+++ b/tamarindfold/ingress/upstream.py
@@ -96,7 +96,8 @@
         finally:
             self.timers.cancel(timer)
             del self.running[exchange.number, attempt.number]
-            self._hold(-attempt.received_bytes)
+            if attempt.received_bytes:
+                self._hold(-attempt.received_bytes)
         served, units = None, 0.0
         report: tuple[float, ...] = ()
         connection = attempt.connection
@@ -196,9 +197,9 @@
             attempt.end_arrived_ms = None  # a connection that breaks ends the attempt when it breaks
             data, attempt.end_arrived_ms = receive(sock, READ_BYTES, self.clock)
             if data:
-                self._account(attempt, len(data))
                 reader.feed(data)
-                if not reader.complete:
+                if not reader.complete:  # more has to be waited for
+                    self._account(attempt, len(data))
                     connection.turn.spend(len(data))
             elif attempt.aborted_as is not None or not reader.end():
                 return Outcome.RESET
--- a/tamarindfold/links/turns.py
+++ b/tamarindfold/links/turns.py
@@ -48,12 +48,12 @@
 
     def ends_after(self, size: int, messages: int = 0) -> bool:
         """Count received bytes and handled messages; True if the turn is over, and a new one begins."""
-        if self._loop.iteration != self._iteration:
-            self._iteration = self._loop.iteration
-            self._until_s = monotonic() + TURN_S
         self._bytes_left -= size
         self._messages_left -= messages
-        if self._bytes_left > 0 and self._messages_left > 0 and monotonic() < self._until_s:
+        now_s, iteration = monotonic(), self._loop.iteration
+        if iteration != self._iteration:
+            self._iteration, self._until_s = iteration, now_s + TURN_S
+        if self._bytes_left > 0 and self._messages_left > 0 and now_s < self._until_s:
             return False
         self.begin()
         return True
--- a/tamarindfold/node/call_ids.py
+++ b/tamarindfold/node/call_ids.py
@@ -20,17 +20,17 @@
 
     def is_taken(self, call_id: bytes, now_ms: float) -> bool:
         """Whether a request of this id is open or may have run."""
-        return call_id in self.open or self.ended.get(call_id, now_ms) > now_ms
+        return call_id in self.open or (call_id in self.ended and self.ended[call_id] > now_ms)
 
     def add(self, call_id: bytes) -> None:
-        """A request of this id begins."""
+        """A request of this id begins; it is not taken."""
         self.open.add(call_id)
-        self.ended.pop(call_id, None)
 
     def end(self, call_id: bytes, now_ms: float, keep_until_ms: float) -> None:
         """The request has its final answer, or its client has left; keep_until_ms: 0 if it may come again."""
         self.open.discard(call_id)
         if keep_until_ms > now_ms:
+            self.ended.pop(call_id, None)
             self.ended[call_id] = keep_until_ms
         if self.ended:
             self._forget(now_ms)
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -173,13 +173,13 @@
         try:
             return super()._process(exchange)
         finally:
-            keep_until_ms = 0.0 if self._may_come_again(exchange) else exchange.deadline_ms
-            front.call_ids.end(exchange.name, front.clock(), keep_until_ms)
+            front.call_ids.end(exchange.name, front.clock(), self._keep_id_until_ms(exchange))
             front.counts["not_kept"] += front.proven_idle >= self.limits.max_idle_connections
 
-    def _may_come_again(self, exchange: Exchange) -> bool:
-        """Whether a request of this id could do no harm again: not sent, or safe and served."""
+    def _keep_id_until_ms(self, exchange: Exchange) -> float:
+        """Until when this id must not run again; 0 if it could do no harm: not sent, or safe and served."""
         if not exchange.written:
-            return True
+            return 0.0
         effect = self.front.core.gateway.settings.classes[exchange.cls].effect
-        return effect is Effect.SAFE and isinstance(exchange.final, Served)
+        harmless = effect is Effect.SAFE and isinstance(exchange.final, Served)
+        return 0.0 if harmless else exchange.deadline_ms
