--- a/tamarindfold/ingress/front.py
+++ b/tamarindfold/ingress/front.py
@@ -13,7 +13,8 @@
 from tamarindfold.ingress import responses
 from tamarindfold.ingress.admission import Forbidden, RequestParameters
 from tamarindfold.ingress.authentication import Authenticator, Unauthorized, VerificationUnavailable
-from tamarindfold.ingress.connection import BaseFront, ClientConnection
+from tamarindfold.ingress.base_front import BaseFront
+from tamarindfold.ingress.connection import ClientConnection
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Refused
 from tamarindfold.ingress.timers import Timers
--- a/tamarindfold/node/front.py
+++ b/tamarindfold/node/front.py
@@ -9,7 +9,8 @@
 
 from tamarindfold.ds.memory import MemoryBudget
 from tamarindfold.http1.requests import Rejected, Request
-from tamarindfold.ingress.connection import BaseFront, ClientConnection, Phase
+from tamarindfold.ingress.base_front import BaseFront
+from tamarindfold.ingress.connection import ClientConnection, Phase
 from tamarindfold.ingress.core import Core
 from tamarindfold.ingress.exchange import Exchange, Refused, Served
 from tamarindfold.ingress.timers import Timers
