--- a/tamarindfold/ingress/connection.py
+++ b/tamarindfold/ingress/connection.py
@@ -131,12 +131,12 @@
                 return
             if self.client_gone:
                 return
-            self._spend_turn(0, messages=1)
             self.answered = True
             if not self.keep_alive:
                 if self.pipelined:
                     self._lingering_close()
                 return
+            self._spend_turn(0, messages=1)
 
     def _respond(self, request: Request) -> None:
         """Answer one request; raises Rejected if the connection must end with an error response."""
@@ -194,8 +194,9 @@
                     self.sock.sendall(CONTINUE)
                 data = self._read_bytes()
                 if self.evicted:
-                    self._raise_if_begun(phase)
-                    return None
+                    if phase is Phase.IDLE:
+                        return None
+                    raise NoRoom
                 if not data:
                     return self._incomplete_request(phase)
                 if phase is Phase.IDLE:
@@ -204,14 +205,11 @@
                 size = len(data)
                 reader.feed(data)
                 del data  # what the reader keeps is enough while this greenlet waits
-                if reader.ready and phase is Phase.IDLE:
+                if phase is Phase.IDLE and len(reader.ready) == 1:
                     break  # it came in one piece, for which the connection's own memory allows
                 self._account()
                 if reader.ready:
                     break
-                if self.evicted:
-                    self._raise_if_begun(phase)
-                    return None
                 if (current := Phase.BODY if reader.in_body else Phase.HEADER) > phase:
                     phase = current
                     self.no_wait = front.no_wait
@@ -220,9 +218,6 @@
                         front.clock() + self.phase_timeout_ms(phase), self.stop_waiting
                     )
                 self._spend_turn(size)
-                if self.evicted:
-                    self._raise_if_begun(phase)
-                    return None
         finally:
             front.timers.cancel(timer)
             front.reading.pop(self, None)
@@ -253,12 +248,6 @@
         self.memory.resize(0)
         self.stop_waiting()
 
-    @staticmethod
-    def _raise_if_begun(phase: Phase) -> None:
-        """An evicted connection is closed, with an error if a request has begun on it."""
-        if phase is not Phase.IDLE:
-            raise NoRoom
-
     def abandon_response(self) -> None:
         """Stop writing to a client that does not read; its greenlet then closes the connection."""
         self.front.writing.pop(self, None)
@@ -285,13 +274,13 @@
         """The next bytes from the client; those that were kept come first.
 
         Empty at the end of the stream. If `no_wait` is set, it doesn't wait, and reads no more than a whole
-        request: the client may send without a pause.
+        request: the client may send without a pause. Nothing is read for a connection that was evicted.
         """
         if self.pipelined_data:
             data, self.last_byte_ms = b"".join(self.pipelined_data), self.pipelined_last_byte_ms
             self.pipelined_data, self.pipelined_bytes = [], 0
             return data
-        while not self.no_wait:
+        while not self.no_wait and not self.evicted:
             try:
                 data, self.last_byte_ms = receive(self.sock._sock, READ_BYTES, self.front.clock)
                 return data
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -153,6 +153,16 @@
     assert read_answer(busy[0]).status == 503 and is_open(busy[1])
 
 
+def test_pipelined_requests_that_come_together_are_accounted_for(rig) -> None:
+    gateway = rig(servers=1)
+    with gateway.connect() as sock:
+        sock.sendall(b"GET /unknown HTTP/1.1\r\nHost: o\r\n\r\n" * 100)
+        received = b""
+        while received.count(b"HTTP/1.1 404") < 100:
+            received += sock.recv(65_536)
+    assert gateway.ingress.memory.peak > CONNECTION_BYTES + 40_000
+
+
 @pytest.mark.parametrize("front", ["run", "serve"])
 def test_all_memory_is_given_back_when_connections_end(start_testbed, rig, front) -> None:
     testbed, gateway = start_testbed(1), rig(servers=1, limits={"client_memory_bytes": 1 << 20})
